In-memory fakes for whole routers in virtual time; first budget experiment

Cause: policies could be judged only over sockets and in real time. Change: fakes of platform, targets and links in memory with cuts, pauses and deaths for each router; experiment budget runs whole routers over them and judges refusals by an oracle that sees every budget.

--- /dev/null
+++ b/src/cmd/experiment.rs
@@ -0,0 +1,74 @@
+//! `kingcupwall experiment`: measures the project's decisions.
+
+use bpaf::Bpaf;
+use serde::Serialize;
+
+use crate::error::Result;
+use crate::experiment::budget;
+
+/// Measure a decision against simpler ones, in virtual time over in-memory fakes
+///
+/// Example: kingcupwall experiment budget --json
+#[derive(Clone, Debug, Bpaf)]
+#[bpaf(command("experiment"))]
+pub struct Args {
+    /// Requests in each cell
+    #[bpaf(argument("N"), fallback(6000))]
+    requests: usize,
+    /// Makes it repeatable
+    #[bpaf(argument("N"), fallback(7))]
+    seed: u64,
+    /// Print one JSON object a cell
+    json: bool,
+    /// Which: budget
+    #[bpaf(positional("NAME"))]
+    name: Name,
+}
+
+#[derive(Clone, Copy, Debug)]
+enum Name {
+    Budget,
+}
+
+impl std::str::FromStr for Name {
+    type Err = String;
+
+    fn from_str(s: &str) -> std::result::Result<Name, String> {
+        match s {
+            "budget" => Ok(Name::Budget),
+            other => Err(format!("no experiment {other:?}; there is: budget")),
+        }
+    }
+}
+
+impl Args {
+    fn show<T: Serialize>(&self, row: &T) {
+        let value = serde_json::to_value(row).expect("rows serialize");
+        if self.json {
+            println!("{value}");
+            return;
+        }
+        let fields = value.as_object().into_iter().flatten();
+        let text: Vec<String> = fields.map(|(k, v)| format!("{k}={v}")).collect();
+        println!("{}", text.join(" "));
+    }
+}
+
+/// Runs the command.
+///
+/// # Errors
+/// What the experiment meets.
+pub fn run(args: &Args) -> Result<()> {
+    match args.name {
+        Name::Budget => {
+            virtual_time(budget::run(args.requests, args.seed, |c| args.show(c))).map(drop)
+        }
+    }
+}
+
+/// Runs a future on a clock that jumps to the next timer when nothing else is to do.
+fn virtual_time<T>(f: impl Future<Output = Result<T>>) -> Result<T> {
+    let runtime =
+        tokio::runtime::Builder::new_current_thread().enable_all().start_paused(true).build()?;
+    runtime.block_on(f)
+}
--- /dev/null
+++ b/src/experiment/mod.rs
@@ -0,0 +1,3 @@
+//! Experiments: the project's decisions measured against simpler ones.
+
+pub mod budget;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod config;
 pub mod engine;
 pub mod error;
+pub mod experiment;
 pub mod ids;
 pub mod load;
 pub mod membership;
--- a/src/router/drive.rs
+++ b/src/router/drive.rs
@@ -339,7 +339,7 @@
             cost: Tokens::ZERO,
         };
         let purpose = Purpose { amount: self.job.amount, bill, target: choice.id.clone() };
-        let others = self.node.others_for(&self.run.organisation);
+        let others = self.node.lenders_for(&self.run.organisation);
         let held = session.reserve(&purpose, &others).await.map_err(superseded)?;
         self.held = Some(Reserved { session, held, purpose });
         Ok(())
--- a/src/router/drive_call.rs
+++ b/src/router/drive_call.rs
@@ -161,7 +161,7 @@
             cost: self.job.cost,
         };
         let purpose = Purpose { amount: self.job.cost, bill, target: target.clone() };
-        let others = self.node.others_for(&self.run.organisation);
+        let others = self.node.lenders_for(&self.run.organisation);
         let session = self.node.session();
         let held = session.reserve(&purpose, &others).await.map_err(superseded)?;
         self.reserved = Some(Reserved { session, held, purpose });
--- a/src/router/mod.rs
+++ b/src/router/mod.rs
@@ -1,5 +1,6 @@
 //! The router daemon: everything of one entry instance, put together.
 
+pub mod boot;
 pub mod drive;
 pub mod drive_call;
 pub mod gates;
--- a/src/router/node.rs
+++ b/src/router/node.rs
@@ -8,6 +8,7 @@
 use super::gates::Gates;
 use super::session::Session;
 use crate::budget::reclaim::{Addresses, Reclaimer};
+use crate::budget::sizing::Sizing;
 use crate::budget::witness::Witness;
 use crate::clock::Clock;
 use crate::config::Config;
@@ -67,6 +68,10 @@
     draining: AtomicBool,
     refusing: AtomicBool,
     ready: AtomicBool,
+    /// Whether it borrows from others.
+    lending: bool,
+    /// Overrides the sizing of grants, for experiments.
+    pub sizing: Option<Sizing>,
     /// Metrics.
     pub metrics: StatsdClient,
     /// Counts for `status`.
@@ -121,6 +126,10 @@
     pub session: Arc<Session<P, M>>,
     /// Metrics.
     pub metrics: StatsdClient,
+    /// Whether it borrows from others.
+    pub lending: bool,
+    /// Overrides the sizing of grants, for experiments.
+    pub sizing: Option<Sizing>,
 }
 
 impl<P: Platform, E: Engine, M: Mesh> Node<P, E, M> {
@@ -146,6 +155,8 @@
             refusing: AtomicBool::new(false),
             ready: AtomicBool::new(false),
             metrics: parts.metrics,
+            lending: parts.lending,
+            sizing: parts.sizing,
             counts: Counts::default(),
         }
     }
@@ -226,6 +237,11 @@
         out
     }
 
+    /// The routers to borrow from.
+    pub fn lenders_for(&self, organisation: &OrganisationId) -> Vec<Entry> {
+        if self.lending { self.others_for(organisation) } else { Vec::new() }
+    }
+
     /// A reclaimer for dead wards.
     pub fn reclaimer(&self) -> Reclaimer<P, E, PickerAddresses> {
         let session = self.session();
--- a/src/router/tasks.rs
+++ b/src/router/tasks.rs
@@ -7,9 +7,9 @@
 use tokio::sync::mpsc;
 use tokio::time::{MissedTickBehavior, interval, sleep};
 
+use super::boot::new_incarnation;
 use super::node::Node;
 use super::session::{News, Session, SessionParts, Watch};
-use super::start::new_incarnation;
 use crate::budget::holder::HoldId;
 use crate::budget::ledger::{HOLDERS, HolderRow, HolderState};
 use crate::budget::witness::Copy;
@@ -435,7 +435,7 @@
             cfg: node.cfg.clone(),
             clock: node.clock,
             commit_interval: node.settings.commit_interval.duration(),
-            sizing: None,
+            sizing: node.sizing,
         };
         match Session::start(parts).await {
             Ok((session, news)) => {
--- a/src/standin/mod.rs
+++ b/src/standin/mod.rs
@@ -3,6 +3,8 @@
 
 pub mod batch;
 pub mod fleet;
+pub mod local;
+pub mod local_fleet;
 pub mod platform;
 pub mod target;
 
