--- a/src/budget/holder.rs
+++ b/src/budget/holder.rs
@@ -15,12 +15,12 @@
 const MAX_BILLS_PER_CHANGE: usize = 200;
 /// Shortest pause between records of bills: one transaction then carries those of all budgets.
 /// Until then the witness has them.
-const MIN_FLUSH: Millis = Millis(1_000);
+const MIN_FLUSH: Millis = Millis(3_000);
 /// Pause added for each router, so that the fleet's records together stay within what the table
 /// takes.
 const FLUSH_PER_ROUTER: Millis = Millis(10);
-/// Unused time after which what is free of a grant goes back, in horizons.
-const IDLE_HORIZONS: u64 = 2;
+/// Unused time after which what is free of a grant goes back.
+const IDLE: Millis = Millis(60_000);
 
 /// Number of a hold within its incarnation.
 #[derive(
@@ -195,6 +195,7 @@
     sizing: Sizing,
     solo_per_mille: u32,
     holders: u64,
+    routers: u64,
     next: u64,
     pockets: Vec<Pocket>,
     holds: Vec<Hold>,
@@ -225,6 +226,7 @@
             sizing,
             solo_per_mille: 0,
             holders: 1,
+            routers: 1,
             next: 0,
             pockets: Vec::new(),
             holds: Vec::new(),
@@ -246,6 +248,11 @@
         self.pending
     }
 
+    /// How many routers write to the ledger: each records the less often, the more there are.
+    pub fn set_routers(&mut self, routers: u64) {
+        self.routers = routers;
+    }
+
     /// The bills of one budget that are not yet recorded.
     pub fn pending_of(&self, id: &BudgetId) -> Vec<Bill> {
         let Ok(place) = self.find(id) else { return Vec::new() };
@@ -463,8 +470,7 @@
         let ids: Vec<BudgetId> = self.pockets.iter().map(|p| p.id.clone()).collect();
         self.flushing = now >= self.next_flush;
         if self.flushing {
-            let pause = FLUSH_PER_ROUTER.0.saturating_mul(self.holders);
-            self.next_flush = Millis(now.0 + pause.max(MIN_FLUSH.0));
+            self.next_flush = Millis(now.0 + self.flush_pause().0);
         }
         let effects = ids.iter().flat_map(|id| self.advance(now, id)).collect();
         self.flushing = false;
@@ -477,7 +483,10 @@
         if let Ok(place) = self.find(id) {
             self.pockets[place].used = Millis(0);
         }
-        self.advance(now, id)
+        self.flushing = true;
+        let effects = self.advance(now, id);
+        self.flushing = false;
+        effects
     }
 
     /// Gives back everything free of every budget.
@@ -540,43 +549,76 @@
         out
     }
 
+    /// The next change of a grant, if one is worth a write now.
+    ///
+    /// Only a waiting request has its grant extended at once. Prefetches, returns and bills wait
+    /// for the next common record, so that one transaction carries those of all budgets.
     fn next_change(&mut self, now: Millis, place: usize) -> Option<Change> {
+        let p = &mut self.pockets[place];
+        let waiting = p.waiting.iter().fold(Tokens::ZERO, |sum, w| sum.plus(w.amount));
+        let short = waiting.minus(p.free());
+        let mut change = Change::default();
+        if short > Tokens::ZERO {
+            change.extend = self.extension(now, place, short);
+        } else if self.flushing {
+            let idle = self.is_idle(now, place);
+            if !idle && self.is_low(now, place) {
+                change.extend = self.extension(now, place, Tokens::ZERO);
+            }
+            if idle || self.sizing == Sizing::PerRequest {
+                change.release = self.pockets[place].free();
+            }
+            change.close = idle && self.can_close(place);
+        }
+        change.solo = change.extend.scaled(u64::from(self.solo_per_mille), 1_000);
+        let p = &self.pockets[place];
+        if self.flushing || change.moves_budget() || p.pending.len() >= MAX_BILLS_PER_CHANGE {
+            let bills = p.pending.iter().take(MAX_BILLS_PER_CHANGE);
+            change.bills = bills.map(|b| b.bill.clone()).collect();
+        }
+        let useful = !change.bills.is_empty() || change.moves_budget();
+        useful.then_some(change)
+    }
+
+    fn is_idle(&self, now: Millis, place: usize) -> bool {
+        now.since(self.pockets[place].used) >= IDLE
+    }
+
+    /// Whether what is free would not last half the horizon.
+    fn is_low(&mut self, now: Millis, place: usize) -> bool {
+        let Sizing::ByRate { horizon } = self.sizing else { return false };
+        let p = &mut self.pockets[place];
+        p.free() < p.rate.over(now, Millis(horizon.0 / 2))
+    }
+
+    fn can_close(&self, place: usize) -> bool {
+        let p = &self.pockets[place];
+        let all_bills = p.pending.len() <= MAX_BILLS_PER_CHANGE;
+        p.held == Tokens::ZERO && all_bills && p.grant.version.is_some()
+    }
+
+    fn extension(&mut self, now: Millis, place: usize, short: Tokens) -> Tokens {
         let horizon = match self.sizing {
             Sizing::ByRate { horizon } => horizon,
-            _ => Millis(u64::MAX / IDLE_HORIZONS),
+            _ => Millis(0),
         };
         let p = &mut self.pockets[place];
-        let free = p.free();
-        let waiting = p.waiting.iter().fold(Tokens::ZERO, |sum, w| sum.plus(w.amount));
-        let short = waiting.minus(free);
-        let ahead = p.rate.over(now, horizon);
-        let low = free.plus(free) < ahead;
-        let mut change = Change {
-            bills: p.pending.iter().take(MAX_BILLS_PER_CHANGE).map(|b| b.bill.clone()).collect(),
-            ..Change::default()
-        };
-        let idle = now.since(p.used) >= Millis(horizon.0.saturating_mul(IDLE_HORIZONS));
-        if short > Tokens::ZERO || (low && !idle) {
-            let need = Need {
-                waiting: short,
-                ahead,
-                free,
-                prepaid: p.grantable(),
-                committed: p.budget.row.committed,
-                holders: self.holders,
-            };
-            let once = self.sizing != Sizing::EqualSplit || p.grant.version.is_none();
-            change.extend = if once { self.sizing.extension(need) } else { Tokens::ZERO };
-            change.solo = change.extend.scaled(u64::from(self.solo_per_mille), 1_000);
-        } else if idle || self.sizing == Sizing::PerRequest {
-            change.release = free;
-            let all_bills = change.bills.len() == p.pending.len();
-            change.close = idle && p.held == Tokens::ZERO && all_bills && p.grant.version.is_some();
+        if matches!(self.sizing, Sizing::EqualSplit(_)) && p.grant.version.is_some() {
+            return Tokens::ZERO;
         }
-        // Bills alone wait for the next common record, or until they fill a change by themselves.
-        let record = self.flushing || change.bills.len() == MAX_BILLS_PER_CHANGE;
-        let useful = (record && !change.bills.is_empty()) || change.moves_budget();
-        useful.then_some(change)
+        let need = Need {
+            waiting: short,
+            ahead: p.rate.over(now, horizon),
+            free: p.free(),
+            prepaid: p.grantable(),
+            committed: p.budget.row.committed,
+            holders: self.holders,
+        };
+        self.sizing.extension(need)
+    }
+
+    fn flush_pause(&self) -> Millis {
+        Millis(FLUSH_PER_ROUTER.0.saturating_mul(self.routers).max(MIN_FLUSH.0))
     }
 }
 
--- a/src/budget/keeper.rs
+++ b/src/budget/keeper.rs
@@ -139,9 +139,14 @@
 #[derive(Clone, Copy, Debug)]
 pub struct HolderVersion(pub Version);
 
-/// How many routers may hold parts of one budget.
+/// How many routers there are.
 #[derive(Clone, Copy, Debug)]
-pub struct Holders(pub u64);
+pub struct Holders {
+    /// All that write to the ledger.
+    pub routers: u64,
+    /// Those that hold parts of one budget.
+    pub holders: u64,
+}
 
 /// What is held of a budget.
 #[derive(Clone, Debug)]
@@ -162,6 +167,10 @@
     pub pending_bills: usize,
 }
 
+/// The witness sealed this incarnation.
+#[derive(Clone, Copy, Debug)]
+pub struct Fence;
+
 struct Tick;
 struct RowsRead(BudgetId, Result<Loaded>, Option<Version>);
 struct Written(BudgetId, Option<Version>);
@@ -311,10 +320,14 @@
         }
         let limit = self.limit(&msg.budget);
         let now = self.now();
+        let stuck = self.parts.committer.is_stuck();
+        let patient = msg.patient && !stuck;
         let (admit, effects) =
-            self.holder.admit(now, &msg.budget, limit, msg.amount, Cover::Witness, msg.patient);
+            self.holder.admit(now, &msg.budget, limit, msg.amount, Cover::Witness, patient);
         match admit {
             Admit::Held(id) => tx.send(Ok(id)),
+            // Without the table it is not known whether the budget is exhausted.
+            Admit::Refused(_) if stuck => tx.send(Err(refusal(Kind::PlatformAway))),
             Admit::Refused(kind) => tx.send(Err(refusal(kind))),
             Admit::Wait(ticket) => self.waiting.push((ticket, tx)),
         }
@@ -381,7 +394,8 @@
     type Reply = ();
 
     async fn handle(&mut self, msg: Holders, _: &mut Context<Self, ()>) {
-        self.parts.holders = msg.0;
+        self.parts.holders = msg.holders;
+        self.holder.set_routers(msg.routers);
     }
 }
 
@@ -405,6 +419,14 @@
     }
 }
 
+impl<T: Table, O: Outbox> Message<Fence> for Keeper<T, O> {
+    type Reply = ();
+
+    async fn handle(&mut self, _: Fence, _: &mut Context<Self, ()>) {
+        self.fence();
+    }
+}
+
 impl<T: Table, O: Outbox> Message<Tick> for Keeper<T, O> {
     type Reply = ();
 
--- a/src/budget/ledger.rs
+++ b/src/budget/ledger.rs
@@ -52,8 +52,11 @@
     pub api: CompactString,
     /// Its listener for routers.
     pub peer: CompactString,
-    /// The incarnation that keeps copies of its holds.
+    /// The incarnation that keeps copies of its holds, and settles them after its death.
     pub witness: Option<Incarnation>,
+    /// Another that may have copies: while the witness cannot be reached, its word is enough.
+    #[serde(default)]
+    pub backup: Option<Incarnation>,
     /// May it hold grants?
     pub state: HolderState,
 }
--- a/src/budget/reclaim.rs
+++ b/src/budget/reclaim.rs
@@ -26,9 +26,24 @@
     fn addr(&self, target: &TargetId) -> Option<compact_str::CompactString>;
 }
 
+/// Asks backups for their seals.
+pub trait Seals: Clone + Send + Sync + 'static {
+    /// Has `backup` refuse all later copies of `holder`, and tell those it has.
+    ///
+    /// # Errors
+    /// `Io` or `Timeout`: it may still take copies.
+    fn seal_at(
+        &self,
+        backup: &Incarnation,
+        holder: &Incarnation,
+    ) -> impl Future<Output = Result<Vec<Copy>>> + Send;
+}
+
 /// A witness at work for its dead wards.
 #[derive(Clone)]
-pub struct Reclaimer<T: Table, E: Engine, A: Addresses> {
+pub struct Reclaimer<T: Table, E: Engine, A: Addresses, S: Seals> {
+    /// Other routers.
+    pub seals: S,
     /// The ledger.
     pub table: T,
     /// Writes the ledger.
@@ -51,21 +66,34 @@
     Unknown,
 }
 
-impl<T: Table, E: Engine, A: Addresses> Reclaimer<T, E, A> {
+impl<T: Table, E: Engine, A: Addresses, S: Seals> Reclaimer<T, E, A, S> {
     /// Seals `holder`, gives back what was provably unspent of its grants, and settles its runs
     /// one by one as evidence comes. Whether the holder was this witness's to reclaim.
     ///
-    /// The order matters. The witness refuses the holder's copies first, so from then on it can
-    /// dispatch nothing new, paused or not; only then is the rest of its grants given back.
+    /// The order matters. Witness and backup refuse the holder's copies first, so from then on it
+    /// can dispatch nothing new, paused or not; only then is the rest of its grants given back.
+    /// Without the backup's seal nothing is: a cut-off holder may go on with its word.
     ///
     /// # Errors
-    /// `PlatformAway`: nothing is given back until the table answers.
+    /// `PlatformAway`, `Io` or `Timeout`: nothing is given back until table and backup answer.
     pub async fn reclaim(&self, holder: &Incarnation) -> Result<bool> {
-        let copies = self.lock_witness().seal(holder);
-        if !self.seal_row(holder).await? {
+        let Some(row) = self.own_row(holder).await? else {
+            self.lock_witness().unseal(holder);
+            return Ok(false);
+        };
+        // The backup first: while it cannot be reached, the holder may be well beside it, and
+        // must find its witness open when the zones see each other again.
+        let theirs = match &row.backup {
+            Some(backup) => self.seals.seal_at(backup, holder).await?,
+            None => Vec::new(),
+        };
+        self.lock_witness().seal(holder);
+        self.lock_witness().merge(holder, theirs);
+        if !self.seal_row(holder, row.backup.as_ref()).await? {
             self.lock_witness().unseal(holder);
             return Ok(false);
         }
+        let copies = self.lock_witness().copies(holder).to_vec();
         log::info!("reclaim=start holder={holder} copies={}", copies.len());
         for budget in self.budgets_of(holder).await? {
             self.fold(holder, &budget, &[], &[]).await?;
@@ -82,14 +110,25 @@
         self.witness.lock().expect("no code panics while it holds the witness")
     }
 
+    fn is_mine(&self, row: &HolderRow) -> bool {
+        row.witness.as_ref() == Some(&self.me) && row.state != HolderState::Left
+    }
+
+    /// The holder's row, if it names this witness.
+    async fn own_row(&self, holder: &Incarnation) -> Result<Option<HolderRow>> {
+        let Some(row) = read_one(&self.table, holder_key(holder)).await? else { return Ok(None) };
+        let row: HolderRow = row.decode()?;
+        Ok(self.is_mine(&row).then_some(row))
+    }
+
     /// Marks the holder as sealed. From then on every change of its own fails on its guard.
-    async fn seal_row(&self, holder: &Incarnation) -> Result<bool> {
+    async fn seal_row(&self, holder: &Incarnation, backup: Option<&Incarnation>) -> Result<bool> {
         loop {
             let Some(row) = read_one(&self.table, holder_key(holder)).await? else {
                 return Ok(false);
             };
             let mut value: HolderRow = row.decode()?;
-            if value.witness.as_ref() != Some(&self.me) || value.state == HolderState::Left {
+            if !self.is_mine(&value) || value.backup.as_ref() != backup {
                 return Ok(false);
             }
             if value.state == HolderState::Sealed {
--- a/src/budget/sizing.rs
+++ b/src/budget/sizing.rs
@@ -6,8 +6,8 @@
 const SAMPLE_WEIGHT: u64 = 30;
 /// Span over which one sample is taken.
 const SAMPLE_SPAN: Millis = Millis(500);
-/// Share of what is left of a budget that one grant may take, divided among the holders.
-const TAIL_DIVISOR: u64 = 2;
+/// Part of an equal share of what is left that one grant may take.
+const TAIL_DIVISOR: u64 = 1;
 
 /// A prefetch that would bring less than the reciprocal of what is missing is not worth a write.
 const SMALLEST_PREFETCH: u64 = 8;
@@ -22,8 +22,8 @@
     },
     /// Always this much, or what is left.
     Fixed(Tokens),
-    /// An equal part of the whole for every holder, taken once.
-    EqualSplit,
+    /// One of so many equal parts of the whole, taken once.
+    EqualSplit(u64),
     /// Exactly what a request needs.
     PerRequest,
 }
@@ -104,7 +104,7 @@
                 Tokens(size.0.max(need.waiting.0))
             }
             Sizing::Fixed(_) => Tokens::ZERO,
-            Sizing::EqualSplit => need.prepaid.scaled(1, need.holders.max(1)),
+            Sizing::EqualSplit(parts) => need.prepaid.scaled(1, parts.max(1)),
             Sizing::PerRequest => need.waiting,
         };
         Tokens(wanted.0.min(left.0))
--- a/src/budget/witness.rs
+++ b/src/budget/witness.rs
@@ -101,6 +101,18 @@
         ward.copies.clone()
     }
 
+    /// Adds what a backup knows of a sealed holder. An ended copy tells more than a running one.
+    pub fn merge(&mut self, holder: &Incarnation, copies: Vec<Copy>) {
+        let ward = self.ward(holder);
+        for copy in copies {
+            match ward.copies.binary_search_by(|c| c.hold.cmp(&copy.hold)) {
+                Ok(place) if copy.ended => ward.copies[place] = copy,
+                Ok(_) => {}
+                Err(place) => ward.copies.insert(place, copy),
+            }
+        }
+    }
+
     /// Takes back a seal that the table did not accept: the holder has another witness by now.
     pub fn unseal(&mut self, holder: &Incarnation) {
         self.wards.retain(|w| w.holder != *holder);
--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -77,7 +77,8 @@
     /// Part of each grant that may be spent without a witness and stays in doubt when its holder
     /// dies. 0% strands least, more refuses less while a router is cut off.
     pub solo_share: PerMille,
-    /// How much time's worth of tokens a grant should last.
+    /// How much time's worth of tokens a grant should last, and with it how long a router can do
+    /// without the table. The end of a budget is shared out in small parts whatever it says.
     pub grant_horizon: Millis,
     /// How long callers may keep an entry answer.
     pub entry_lifetime: Millis,
@@ -91,7 +92,7 @@
     fn default() -> Fleet {
         Fleet {
             solo_share: PerMille(0),
-            grant_horizon: Millis(5_000),
+            grant_horizon: Millis(600_000),
             entry_lifetime: Millis(10_000),
             entry_width: 3,
             retry_share: PerMille(100),
--- a/src/membership/entry.rs
+++ b/src/membership/entry.rs
@@ -50,3 +50,14 @@
     let others = live.iter().filter(|e| e.incarnation != me.incarnation && !e.leaving);
     others.max_by_key(|e| (e.zone != me.zone, word(e)))
 }
+
+/// The backup for a router: the best ranked live one in its own zone besides `witness`, or else
+/// any other. While a zone is cut off, its routers go on with each other's word.
+pub fn backup<'a>(live: &'a [Entry], me: &Entry, witness: &Entry) -> Option<&'a Entry> {
+    let word =
+        |e: &Entry| Digest::of(format!("{}\n{}", e.incarnation, me.incarnation).as_bytes()).word();
+    let free = |e: &&Entry| {
+        ![&me.incarnation, &witness.incarnation].contains(&&e.incarnation) && !e.leaving
+    };
+    live.iter().filter(free).max_by_key(|e| (e.zone == me.zone, word(e)))
+}
--- a/src/membership/wire.rs
+++ b/src/membership/wire.rs
@@ -38,6 +38,8 @@
         /// Numbers of its holds.
         holds: Vec<HoldId>,
     },
+    /// Refuse all later copies of this holder, and tell what is known: it is taken for dead.
+    Seal(Incarnation),
     /// What is known of a request?
     Find {
         /// Who asked.
@@ -90,6 +92,8 @@
     Beat(Vec<Entry>),
     /// What is known of a request.
     Found(Option<Found>),
+    /// Copies of a sealed holder.
+    Copies(Vec<Copy>),
     /// Tokens are held under this number.
     Held(HoldId),
     /// Revisions in order.
--- a/src/platform/committer.rs
+++ b/src/platform/committer.rs
@@ -4,7 +4,7 @@
 //! mutations of all its parts and writes them together, one transaction at a time.
 
 use std::sync::Arc;
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::time::Duration;
 
 use compact_str::CompactString;
@@ -34,6 +34,7 @@
 pub struct Committer {
     tx: mpsc::UnboundedSender<Entry>,
     queued: Arc<AtomicUsize>,
+    stuck: Arc<AtomicBool>,
 }
 
 impl Committer {
@@ -41,6 +42,7 @@
     pub fn start<T: Table>(table: T, owner: &Incarnation, interval: Duration) -> Committer {
         let (tx, rx) = mpsc::unbounded_channel();
         let queued = Arc::new(AtomicUsize::new(0));
+        let stuck = Arc::new(AtomicBool::new(false));
         let writer = Writer {
             table,
             prefix: CompactString::from(owner.as_str()),
@@ -48,9 +50,10 @@
             interval,
             rx,
             queued: queued.clone(),
+            stuck: stuck.clone(),
         };
         tokio::spawn(writer.run());
-        Committer { tx, queued }
+        Committer { tx, queued, stuck }
     }
 
     /// Mutations that wait for their transaction.
@@ -58,6 +61,11 @@
         self.queued.load(Ordering::Relaxed)
     }
 
+    /// Whether the last attempt to write had no answer. Who can do without a write should.
+    pub fn is_stuck(&self) -> bool {
+        self.stuck.load(Ordering::Relaxed)
+    }
+
     /// Writes `mutation` with whatever else waits. The version of the rows written, or `None`
     /// when a guard failed. An answer may take as long as the platform is away.
     ///
@@ -82,6 +90,7 @@
     interval: Duration,
     rx: mpsc::UnboundedReceiver<Entry>,
     queued: Arc<AtomicUsize>,
+    stuck: Arc<AtomicBool>,
 }
 
 impl<T: Table> Writer<T> {
@@ -136,9 +145,13 @@
         let mut pause = MIN_BACKOFF;
         loop {
             match self.table.write(txn.clone()).await {
-                Ok(outcome) => return outcome,
+                Ok(outcome) => {
+                    self.stuck.store(false, Ordering::Relaxed);
+                    return outcome;
+                }
                 Err(e) => log::warn!("write=retry txn={} error={:?}", txn.id, e.message),
             }
+            self.stuck.store(true, Ordering::Relaxed);
             sleep(pause.mul_f64(0.5 + fastrand::f64() / 2.0)).await;
             pause = (pause * 2).min(MAX_BACKOFF);
         }
--- a/src/router/boot.rs
+++ b/src/router/boot.rs
@@ -137,6 +137,7 @@
                 api: b.api.clone(),
                 peer: b.peer.clone(),
                 witness: None,
+                backup: None,
                 state: HolderState::Live,
             },
             cfg: cfg.clone(),
--- a/src/router/node.rs
+++ b/src/router/node.rs
@@ -7,18 +7,19 @@
 
 use super::gates::Gates;
 use super::session::Session;
-use crate::budget::reclaim::{Addresses, Reclaimer};
+use crate::budget::reclaim::{Addresses, Reclaimer, Seals};
 use crate::budget::sizing::Sizing;
-use crate::budget::witness::Witness;
+use crate::budget::witness::{Copy, Witness};
 use crate::clock::Clock;
 use crate::config::Config;
 use crate::config::settings::Settings;
 use crate::config::store::Follower;
 use crate::engine::Engine;
-use crate::ids::{Millis, OrganisationId, TargetId};
+use crate::error::{Error, Kind, Result};
+use crate::ids::{Incarnation, Millis, OrganisationId, TargetId};
 use crate::membership::entry::home;
 use crate::membership::view::{Entry, View};
-use crate::membership::wire::Mesh;
+use crate::membership::wire::{Ask, Mesh, Reply};
 use crate::platform::Platform;
 use crate::request::runs::Runs;
 use crate::route::picker::Picker;
@@ -34,6 +35,26 @@
     }
 }
 
+/// Asks backups over the links between routers.
+#[derive(Clone, Debug)]
+pub struct MeshSeals<M: Mesh> {
+    mesh: M,
+    known: Vec<Entry>,
+}
+
+impl<M: Mesh> Seals for MeshSeals<M> {
+    async fn seal_at(&self, backup: &Incarnation, holder: &Incarnation) -> Result<Vec<Copy>> {
+        let unknown = || Error::new(Kind::Io, format!("backup {backup} is not known"));
+        let to = self.known.iter().find(|e| e.incarnation == *backup).ok_or_else(unknown)?;
+        match self.mesh.ask(to, Ask::Seal(holder.clone())).await? {
+            Reply::Copies(copies) => Ok(copies),
+            _ => {
+                Err(Error::new(Kind::BadFormat, format!("backup {backup} answered something else")))
+            }
+        }
+    }
+}
+
 /// One router.
 pub struct Node<P: Platform, E: Engine, M: Mesh> {
     /// Its settings.
@@ -243,9 +264,11 @@
     }
 
     /// A reclaimer for dead wards.
-    pub fn reclaimer(&self) -> Reclaimer<P, E, PickerAddresses> {
+    pub fn reclaimer(&self) -> Reclaimer<P, E, PickerAddresses, MeshSeals<M>> {
         let session = self.session();
+        let known = self.lock_view().known(self.now()).into_iter().map(|(e, _)| e).collect();
         Reclaimer {
+            seals: MeshSeals { mesh: self.mesh.clone(), known },
             table: self.platform.clone(),
             committer: session.committer.clone(),
             engine: self.engine.clone(),
--- a/src/router/peers.rs
+++ b/src/router/peers.rs
@@ -63,6 +63,12 @@
                     .forget(&holder, &holds);
                 Ok(Reply::Done)
             }
+            Ask::Seal(holder) => {
+                log::info!("witness=seal holder={holder} role=backup");
+                let mut witness =
+                    node.witness.lock().expect("no code panics while it holds the witness");
+                Ok(Reply::Copies(witness.seal(&holder)))
+            }
             Ask::Find { organisation, key } => Ok(Reply::Found(self.find(&organisation, &key))),
             Ask::Borrow { budget, amount, copy } => {
                 if node.is_draining() {
--- a/src/router/tasks.rs
+++ b/src/router/tasks.rs
@@ -9,7 +9,7 @@
 
 use super::boot::new_incarnation;
 use super::node::Node;
-use super::session::{News, Session, SessionParts, Watch};
+use super::session::{News, Pair, Session, SessionParts, Watch};
 use crate::budget::holder::HoldId;
 use crate::budget::ledger::{HOLDERS, HolderRow, HolderState};
 use crate::budget::witness::Copy;
@@ -17,7 +17,7 @@
 use crate::engine::{Cancelled, Engine};
 use crate::error::{Kind, Result};
 use crate::ids::{Incarnation, Tokens};
-use crate::membership::entry::witness;
+use crate::membership::entry::{backup, witness};
 use crate::membership::view::Entry;
 use crate::membership::wire::{Ask, Mesh, Reply};
 use crate::platform::{InstanceState, Platform, scan_all};
@@ -106,10 +106,10 @@
         let mut chosen: Vec<Entry> =
             (0..FANOUT.min(to.len())).map(|i| to[(turn + i) % n].clone()).collect();
         turn = (turn + FANOUT) % n;
-        if let Watch::By(w) = node.session().watch()
-            && !chosen.iter().any(|c| c.incarnation == w.incarnation)
-        {
-            chosen.push(w);
+        if let Watch::By(Some(pair)) = node.session().watch() {
+            let missing = |m: &&Entry| !chosen.iter().any(|c| c.incarnation == m.incarnation);
+            let missing: Vec<Entry> = pair.members().filter(missing).cloned().collect();
+            chosen.extend(missing);
         }
         for peer in chosen {
             tokio::spawn(beat_one(node.clone(), peer, entries.clone()));
@@ -307,7 +307,10 @@
         let now = node.now();
         node.lock_runs().expire(now);
         let live = node.live();
-        node.session().set_holders(live.iter().filter(|e| !e.leaving).count() as u64).await;
+        // An organisation is named so many routers; only these hold parts of its budgets.
+        let width = node.cfg.read().expect("never poisoned").fleet.entry_width as usize;
+        let serving = live.iter().filter(|e| !e.leaving).count();
+        node.session().set_holders(serving as u64, serving.min(width) as u64).await;
         care_witness(&node, &live).await;
         reclaim_dead(&node, &mut reclaimed).await;
         settle_loans(&node, &loans).await;
@@ -316,22 +319,32 @@
 
 async fn care_witness<P: Platform, E: Engine, M: Mesh>(node: &Shared<P, E, M>, live: &[Entry]) {
     let session = node.session();
+    let Watch::By(now) = session.watch() else { return };
     let me = node.lock_view().me().clone();
-    let suspect = session.suspect();
-    let trusted = |e: &&Entry| Some(&e.incarnation) != suspect.as_ref();
+    let suspects = session.suspects();
+    let trusted = |e: &&Entry| !suspects.contains(&e.incarnation);
     let trusted: Vec<Entry> = live.iter().filter(trusted).cloned().collect();
-    let best = witness(&trusted, &me).cloned();
-    let change = match session.watch() {
-        Watch::Nobody => best.is_some(),
-        Watch::By(w) => !trusted.iter().any(|e| e.incarnation == w.incarnation && !e.leaving),
+    let stays = |m: &Entry| trusted.iter().any(|e| e.incarnation == m.incarnation && !e.leaving);
+    let well = match &now {
+        None => trusted.len() < 2,
+        Some(pair) => pair.members().all(stays) && (pair.backup.is_some() || trusted.len() < 3),
     };
-    if !change || node.is_draining() {
+    if well || node.is_draining() {
         return;
     }
-    let chosen = tokio::time::timeout(Duration::from_secs(5), session.choose_witness(best)).await;
-    if let Ok(Err(e)) = chosen {
-        log::warn!("witness=not_chosen error={:?}", e.message);
+    let to = witness(&trusted, &me).map(|w| {
+        let backup = backup(&trusted, &me, w).cloned();
+        Pair { witness: w.clone(), backup }
+    });
+    // Nobody to turn to: whom the row names is better than nobody.
+    if to.is_none() && !live.is_empty() && now.is_some() && trusted.len() < live.len() {
+        return;
     }
+    tokio::spawn(async move {
+        if let Err(e) = session.choose_witness(to).await {
+            log::warn!("witness=not_chosen error={:?}", e.message);
+        }
+    });
 }
 
 async fn reclaim_dead<P: Platform, E: Engine, M: Mesh>(
@@ -430,6 +443,7 @@
                 api: me.api,
                 peer: me.peer,
                 witness: None,
+                backup: None,
                 state: HolderState::Live,
             },
             cfg: node.cfg.clone(),
--- a/src/standin/local_fleet.rs
+++ b/src/standin/local_fleet.rs
@@ -217,7 +217,7 @@
     /// A caller that does not depend on the fleet staying as it is.
     pub fn caller(&self) -> LocalCaller {
         let routers = self.places.iter().map(|p| (p.at, p.node.clone())).collect();
-        LocalCaller { net: self.net.clone(), routers }
+        LocalCaller { net: self.net.clone(), routers, only: None, spread: true }
     }
 
     /// Ends everything.
@@ -232,6 +232,10 @@
 pub struct LocalCaller {
     net: Arc<Net>,
     routers: Vec<(usize, Arc<LocalNode>)>,
+    /// The caller can reach only this zone's routers.
+    pub only: Option<ZoneId>,
+    /// The caller starts at any of the routers named to it.
+    pub spread: bool,
 }
 
 /// A model request.
@@ -275,10 +279,16 @@
             let place =
                 |peer: &str| self.routers.iter().position(|(_, n)| n.lock_view().me().peer == peer);
             out = named.iter().filter_map(|e| place(&e.peer)).collect();
+            if self.spread && !out.is_empty() {
+                let n = fastrand::usize(..out.len());
+                out.rotate_left(n);
+            }
             break;
         }
         let rest: Vec<usize> = (0..self.routers.len()).filter(|i| !out.contains(i)).collect();
         out.extend(rest);
+        let zone = |i: &usize| self.routers[*i].1.settings.zone.clone();
+        out.retain(|i| self.only.as_ref().is_none_or(|z| *z == zone(i)));
         out
     }
 
--- a/tests/workdir.rs
+++ b/tests/workdir.rs
@@ -5,13 +5,14 @@
 
 use compact_str::CompactString;
 use kingcupwall::budget::ledger::Bill;
-use kingcupwall::budget::reclaim::Addresses;
+use kingcupwall::budget::reclaim::{Addresses, Seals};
+use kingcupwall::budget::witness::{Copy, Witness};
 use kingcupwall::engine::{
     Cancelled, Engine, LoadReport, Order, Part, Parts, Piece, RunUsage, ServiceAnswer, ServiceCall,
     StartRun,
 };
 use kingcupwall::error::{Error, Kind, Result};
-use kingcupwall::ids::{Digest, RunId, TargetId, Tokens};
+use kingcupwall::ids::{Digest, Incarnation, RunId, TargetId, Tokens};
 
 /// A name of any type.
 pub fn name<T: FromStr>(text: &str) -> T
@@ -139,3 +140,21 @@
         Some(CompactString::const_new("127.0.0.1:1"))
     }
 }
+
+/// A backup witness that can be out of reach.
+#[derive(Clone, Debug, Default)]
+pub struct FakeBackup {
+    /// Its copies.
+    pub witness: Arc<Mutex<Witness>>,
+    /// Whether it answers.
+    pub away: Arc<Mutex<bool>>,
+}
+
+impl Seals for FakeBackup {
+    async fn seal_at(&self, _: &Incarnation, holder: &Incarnation) -> Result<Vec<Copy>> {
+        match *self.away.lock().unwrap() {
+            true => Err(Error::new(Kind::Timeout, "the fake backup is away")),
+            false => Ok(self.witness.lock().unwrap().seal(holder)),
+        }
+    }
+}
