--- a/src/budget/holder.rs
+++ b/src/budget/holder.rs
@@ -217,6 +217,8 @@
     pub settled: Tokens,
     /// Free to hold.
     pub free: Tokens,
+    /// Left to grant in the table, when it was last read.
+    pub left: Tokens,
 }
 
 impl Holder {
@@ -284,6 +286,7 @@
             unrecorded: p.unrecorded,
             settled: p.grant.row.settled,
             free: p.free(),
+            left: p.grantable().minus(p.budget.row.committed),
         }
     }
 
@@ -602,6 +605,7 @@
             Sizing::ByRate { horizon } => horizon,
             _ => Millis(0),
         };
+        let soon = Millis(self.flush_pause().0.saturating_mul(2));
         let p = &mut self.pockets[place];
         if matches!(self.sizing, Sizing::EqualSplit(_)) && p.grant.version.is_some() {
             return Tokens::ZERO;
@@ -609,6 +613,7 @@
         let need = Need {
             waiting: short,
             ahead: p.rate.over(now, horizon),
+            soon: p.rate.over(now, soon),
             free: p.free(),
             prepaid: p.grantable(),
             committed: p.budget.row.committed,
--- a/src/budget/keeper.rs
+++ b/src/budget/keeper.rs
@@ -225,6 +225,13 @@
     }
 
     fn write(&self, id: BudgetId, change: &Change, budget: Seen<BudgetRow>, grant: Seen<GrantRow>) {
+        log::debug!(
+            "ledger=write budget={id} extend={} release={} bills={} close={}",
+            change.extend,
+            change.release,
+            change.bills.len(),
+            change.close
+        );
         let mutation =
             change.mutation(&self.parts.incarnation, Some(self.version), &id, budget, grant);
         let (me, committer) = (self.me.clone(), self.parts.committer.clone());
--- a/src/budget/reclaim.rs
+++ b/src/budget/reclaim.rs
@@ -3,6 +3,8 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
+use tokio::sync::mpsc;
+
 use super::holder::HoldId;
 use super::keeper::seen;
 use super::ledger::{
@@ -17,6 +19,8 @@
 
 /// Pause between attempts to learn what became of a run.
 const ASK_PAUSE: Duration = Duration::from_millis(500);
+/// Bills recorded in one change.
+const FOLD_PAGE: usize = 100;
 /// Attempts before a run is left in doubt.
 const ASK_ATTEMPTS: u32 = 240;
 
@@ -58,6 +62,17 @@
     pub me: Incarnation,
 }
 
+/// A hold whose end is known.
+struct Adopted {
+    copy: Copy,
+    /// Its bill; `None`: it never ran, or is billed already.
+    bill: Option<Bill>,
+}
+
+fn ended_usage(copy: &Copy) -> RunUsage {
+    RunUsage { prompt_tokens: 0, tokens: copy.bill.cost.0 }
+}
+
 /// What is known of a run after asking.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum Evidence {
@@ -96,13 +111,15 @@
         let copies = self.lock_witness().copies(holder).to_vec();
         log::info!("reclaim=start holder={holder} copies={}", copies.len());
         for budget in self.budgets_of(holder).await? {
-            self.fold(holder, &budget, &[], &[]).await?;
+            self.fold_ended(holder, &budget, &copies).await?;
         }
-        for copy in copies {
-            let reclaimer = self.clone();
-            let holder = holder.clone();
-            tokio::spawn(async move { reclaimer.adopt(&holder, copy).await });
+        let (tx, rx) = mpsc::unbounded_channel();
+        for copy in copies.into_iter().filter(|c| !c.ended) {
+            let (reclaimer, tx) = (self.clone(), tx.clone());
+            tokio::spawn(async move { reclaimer.adopt(copy, tx).await });
         }
+        let (reclaimer, holder) = (self.clone(), holder.clone());
+        tokio::spawn(async move { reclaimer.settle_adopted(&holder, rx).await });
         Ok(true)
     }
 
@@ -148,6 +165,25 @@
         rows.iter().map(|r| r.key[prefix.len()..].parse()).collect()
     }
 
+    /// Settles all ended runs of one grant together: one by one, each would wait for the write
+    /// of the one before, as they change the same row.
+    async fn fold_ended(
+        &self,
+        holder: &Incarnation,
+        budget: &BudgetId,
+        copies: &[Copy],
+    ) -> Result<()> {
+        let own: Vec<&Copy> =
+            copies.iter().filter(|c| c.ended && c.bill.budget == *budget).collect();
+        for page in own.chunks(FOLD_PAGE) {
+            let bills: Vec<Bill> = page.iter().map(|c| self.bill(c, ended_usage(c))).collect();
+            let holds: Vec<HoldId> = page.iter().map(|c| c.hold).collect();
+            self.fold(holder, budget, &bills, &holds).await?;
+            self.lock_witness().forget(holder, &holds);
+        }
+        self.fold(holder, budget, &[], &[]).await
+    }
+
     /// Records `bills`, of the holds `ended`, and brings a grant down to what is settled,
     /// outstanding or solo.
     async fn fold(
@@ -188,35 +224,47 @@
         }
     }
 
-    /// Settles one hold of a dead holder by evidence, and only by evidence: without any it stays
-    /// counted as spent.
-    async fn adopt(&self, holder: &Incarnation, copy: Copy) {
-        let mut attempts = 0;
-        let bill = loop {
-            match self.evidence(&copy).await {
-                Ok(Evidence::Ended(u)) => break Some(self.bill(&copy, u)),
-                Ok(Evidence::NeverRan) => break None,
-                Ok(Evidence::Unknown) => {}
-                Err(e) => log::warn!("reclaim=ask run={} error={:?}", copy.bill.run, e.message),
-            }
-            attempts += 1;
-            if attempts >= ASK_ATTEMPTS {
-                log::error!(
-                    "reclaim=in_doubt holder={holder} run={} tokens={}",
-                    copy.bill.run,
-                    copy.amount
-                );
+    /// Finds out what became of one hold of a dead holder. Without evidence it stays counted as
+    /// spent.
+    async fn adopt(&self, copy: Copy, tx: mpsc::UnboundedSender<Adopted>) {
+        for _ in 0..ASK_ATTEMPTS {
+            let bill = match self.evidence(&copy).await {
+                Ok(Evidence::Ended(u)) => Some(Some(self.bill(&copy, u))),
+                Ok(Evidence::NeverRan) => Some(None),
+                Ok(Evidence::Unknown) => None,
+                Err(e) => {
+                    log::warn!("reclaim=ask run={} error={:?}", copy.bill.run, e.message);
+                    None
+                }
+            };
+            if let Some(bill) = bill {
+                // The other end lives as long as this one.
+                let _ = tx.send(Adopted { copy, bill });
                 return;
             }
             tokio::time::sleep(ASK_PAUSE).await;
-        };
-        let bills: Vec<Bill> = bill.into_iter().collect();
-        let ended = [copy.hold];
-        // The copy stays until its bill is recorded: holds are settled side by side, and another
-        // one's fold would otherwise give its tokens back and close the grant before the bill.
-        self.fold_until_done(holder, &copy.bill.budget, &bills, &ended).await;
-        self.lock_witness().forget(holder, &ended);
-        self.fold_until_done(holder, &copy.bill.budget, &[], &[]).await;
+        }
+        log::error!("reclaim=in_doubt run={} tokens={}", copy.bill.run, copy.amount);
+    }
+
+    /// Settles holds as evidence comes, all that is there together: each changes the same row.
+    ///
+    /// A copy stays until its bill is recorded: another fold would otherwise give its tokens back
+    /// and close the grant before the bill.
+    async fn settle_adopted(&self, holder: &Incarnation, mut rx: mpsc::UnboundedReceiver<Adopted>) {
+        let mut page = Vec::new();
+        while rx.recv_many(&mut page, FOLD_PAGE).await > 0 {
+            page.sort_by(|a, b| a.copy.bill.budget.cmp(&b.copy.bill.budget));
+            for group in page.chunk_by(|a, b| a.copy.bill.budget == b.copy.bill.budget) {
+                let bills: Vec<Bill> = group.iter().filter_map(|a| a.bill.clone()).collect();
+                let holds: Vec<HoldId> = group.iter().map(|a| a.copy.hold).collect();
+                let budget = &group[0].copy.bill.budget;
+                self.fold_until_done(holder, budget, &bills, &holds).await;
+                self.lock_witness().forget(holder, &holds);
+            }
+            page.clear();
+        }
+        log::info!("reclaim=done holder={holder}");
     }
 
     async fn fold_until_done(
@@ -239,7 +287,7 @@
 
     async fn evidence(&self, copy: &Copy) -> Result<Evidence> {
         if copy.ended {
-            return Ok(Evidence::Ended(RunUsage { prompt_tokens: 0, tokens: copy.bill.cost.0 }));
+            return Ok(Evidence::Ended(ended_usage(copy)));
         }
         // Another router ran the same request and billed it: this run is paid for.
         if read_one(&self.table, bill_key(&copy.bill)).await?.is_some() {
--- a/src/budget/sizing.rs
+++ b/src/budget/sizing.rs
@@ -9,9 +9,6 @@
 /// Part of an equal share of what is left that one grant may take.
 const TAIL_DIVISOR: u64 = 1;
 
-/// A prefetch that would bring less than the reciprocal of what is missing is not worth a write.
-const SMALLEST_PREFETCH: u64 = 8;
-
 /// How grants are sized. The other policies exist to be measured against.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Sizing {
@@ -73,6 +70,8 @@
     pub waiting: Tokens,
     /// What the horizon will take.
     pub ahead: Tokens,
+    /// What the next records will take: a prefetch of less is not worth a write.
+    pub soon: Tokens,
     /// What the holder has free.
     pub free: Tokens,
     /// The whole prepaid amount.
@@ -95,7 +94,7 @@
                 let tail = left.scaled(1, TAIL_DIVISOR * need.holders.max(1));
                 let ahead = need.ahead.minus(need.free);
                 let extra = Tokens(ahead.0.min(tail.0));
-                if need.waiting == Tokens::ZERO && extra.scaled(SMALLEST_PREFETCH, 1) < ahead {
+                if need.waiting == Tokens::ZERO && extra < need.soon {
                     return Tokens::ZERO;
                 }
                 need.waiting.plus(extra)
--- a/src/cmd/experiment.rs
+++ b/src/cmd/experiment.rs
@@ -18,6 +18,9 @@
     /// Makes it repeatable
     #[bpaf(argument("N"), fallback(7))]
     seed: u64,
+    /// Only cells whose policy/workload contains this
+    #[bpaf(argument("TEXT"), fallback(String::new()))]
+    only: String,
     /// Print one JSON object a cell
     json: bool,
     /// Which: budget
@@ -61,7 +64,8 @@
 pub fn run(args: &Args) -> Result<()> {
     match args.name {
         Name::Budget => {
-            virtual_time(budget::run(args.requests, args.seed, |c| args.show(c))).map(drop)
+            virtual_time(budget::run(args.requests, args.seed, &args.only, |c| args.show(c)))
+                .map(drop)
         }
     }
 }
--- a/src/experiment/budget.rs
+++ b/src/experiment/budget.rs
@@ -93,18 +93,21 @@
     StoreAway,
     /// One zone is cut off from the table and the other zones, while budgets are topped up.
     ZoneCut,
+    /// The same, and a third of the callers is cut off with the zone.
+    ZoneCutInside,
     /// A router is killed every few seconds, and replaced.
     Kills,
 }
 
 impl Workload {
     /// All that are measured.
-    pub const ALL: [Workload; 6] = [
+    pub const ALL: [Workload; 7] = [
         Workload::Steady,
         Workload::Crowd,
         Workload::Skew,
         Workload::StoreAway,
         Workload::ZoneCut,
+        Workload::ZoneCutInside,
         Workload::Kills,
     ];
 
@@ -115,6 +118,7 @@
             Workload::Skew => "skew",
             Workload::StoreAway => "store_away",
             Workload::ZoneCut => "zone_cut_top_ups",
+            Workload::ZoneCutInside => "zone_cut_callers_inside",
             Workload::Kills => "kills",
         }
     }
@@ -175,17 +179,23 @@
     seed: u64,
 }
 
-/// Runs every policy under every workload.
+/// Runs every policy under every workload whose `policy/workload` contains `only`.
 ///
 /// # Errors
 /// `BadConfig` for the experiment's own configuration.
-pub async fn run<F: FnMut(&Cell)>(requests: usize, seed: u64, mut show: F) -> Result<Vec<Cell>> {
+pub async fn run<F: FnMut(&Cell)>(
+    requests: usize,
+    seed: u64,
+    only: &str,
+    mut show: F,
+) -> Result<Vec<Cell>> {
     let mut out = Vec::new();
     for workload in Workload::ALL {
         let mut policies = BudgetPolicy::ALL.to_vec();
-        if matches!(workload, Workload::ZoneCut | Workload::Kills) {
+        if matches!(workload, Workload::ZoneCutInside | Workload::Kills) {
             policies.extend([BudgetPolicy::Solo(100), BudgetPolicy::Solo(300)]);
         }
+        policies.retain(|p| format!("{}/{}", p.name(), workload.name()).contains(only));
         for policy in policies {
             let trial = Trial { policy, workload, requests, rate: 150.0, seed };
             let cell = trial.run().await?;
@@ -280,7 +290,7 @@
             due += Duration::from_secs_f64(-(1.0 - rng.f64()).ln() / self.rate_at(part));
             sleep_until(due).await;
             self.happen(fleet, n).await?;
-            if self.workload == Workload::ZoneCut && n == self.requests / 2 {
+            if self.is_zone_cut() && n == self.requests / 2 {
                 top_up(fleet, oracle).await?;
             }
             if self.workload == Workload::Kills && Instant::now() > next_kill {
@@ -291,7 +301,7 @@
             let org = self.choose(&mut rng);
             let mut caller = caller.clone();
             // A third of the callers stands in the zone that is cut off, and cannot leave it.
-            let inside = self.workload == Workload::ZoneCut && n.is_multiple_of(3);
+            let inside = self.workload == Workload::ZoneCutInside && n.is_multiple_of(3);
             caller.only = if inside && n > self.requests / 3 { Some("c".parse()?) } else { None };
             sent.spawn(send(caller, oracle.clone(), org, n));
         }
@@ -302,6 +312,10 @@
         Ok(firsts)
     }
 
+    fn is_zone_cut(&self) -> bool {
+        matches!(self.workload, Workload::ZoneCut | Workload::ZoneCutInside)
+    }
+
     fn rate_at(&self, part: f64) -> f64 {
         match self.workload {
             // A quiet time, then the crowd.
@@ -329,12 +343,12 @@
             Workload::StoreAway if n == two_thirds => {
                 fleet.net.memory.set_faults(Faults::default())
             }
-            Workload::ZoneCut if n == third => {
+            Workload::ZoneCut | Workload::ZoneCutInside if n == third => {
                 fleet.net.cut_platform(&zone("c")?);
                 fleet.net.cut(&zone("c")?, &zone("a")?);
                 fleet.net.cut(&zone("c")?, &zone("b")?);
             }
-            Workload::ZoneCut if n == two_thirds => fleet.net.mend(),
+            Workload::ZoneCut | Workload::ZoneCutInside if n == two_thirds => fleet.net.mend(),
             _ => {}
         }
         Ok(())
--- a/src/membership/view.rs
+++ b/src/membership/view.rs
@@ -44,13 +44,15 @@
     me: Entry,
     dead_after: Millis,
     others: Vec<Member>,
+    candidates: Vec<Entry>,
     cursor: usize,
+    turn: usize,
 }
 
 impl View {
     /// A view that knows only `me`.
     pub fn new(me: Entry, dead_after: Millis) -> View {
-        View { me, dead_after, others: Vec::new(), cursor: 0 }
+        View { me, dead_after, others: Vec::new(), candidates: Vec::new(), cursor: 0, turn: 0 }
     }
 
     /// This router's own entry.
@@ -84,6 +86,22 @@
         }
     }
 
+    /// Routers as the table's rows name them: those not heard of are asked, and count as alive
+    /// once they are.
+    pub fn set_candidates(&mut self, candidates: Vec<Entry>) {
+        self.candidates = candidates;
+    }
+
+    /// One candidate that is silent, in turn: a new router, or one behind a cut that may have
+    /// mended.
+    pub fn next_candidate(&mut self, now: Millis) -> Option<Entry> {
+        let silent = |e: &&Entry| !self.alive(now, &e.incarnation);
+        let silent: Vec<&Entry> = self.candidates.iter().filter(silent).collect();
+        let next = silent.get(self.turn % silent.len().max(1)).map(|e| (*e).clone());
+        self.turn = self.turn.wrapping_add(1);
+        next
+    }
+
     /// A router said itself, or the table says, that it is gone for good.
     pub fn remove(&mut self, id: &Incarnation) {
         if let Ok(place) = self.find(id) {
@@ -142,6 +160,14 @@
         out
     }
 
+    /// Whether a router fell silent a short time ago: what it holds may come back soon.
+    pub fn has_doubtful(&self, now: Millis) -> bool {
+        let (from, to) = (self.dead_after.0 / 2, self.dead_after.0.saturating_mul(5));
+        let quiet = |m: &Member| now.since(m.heard).0;
+        let known = self.others.iter().filter(|m| m.entry.beat != u64::MAX);
+        known.map(quiet).any(|q| q >= from && q < to)
+    }
+
     /// The highest revision that any live router says it runs.
     pub fn newest_revision(&self, now: Millis) -> Revision {
         let live = self.others.iter().filter(|m| self.is_live(now, m));
--- a/src/membership/wire.rs
+++ b/src/membership/wire.rs
@@ -47,6 +47,8 @@
         /// Under which key.
         key: RequestKey,
     },
+    /// How much of a budget do you have free?
+    Free(BudgetId),
     /// Hold tokens of your grant for a run of mine.
     Borrow {
         /// The budget.
@@ -94,6 +96,8 @@
     Found(Option<Found>),
     /// Copies of a sealed holder.
     Copies(Vec<Copy>),
+    /// So much is free.
+    Free(Tokens),
     /// Tokens are held under this number.
     Held(HoldId),
     /// Revisions in order.
--- a/src/platform/committer.rs
+++ b/src/platform/committer.rs
@@ -112,21 +112,26 @@
         }
     }
 
-    /// Writes a batch; the mutations without a verdict come back to be written again.
+    /// Writes a batch. Mutations that have to wait for a transaction of their own come back.
+    ///
+    /// A mutation that fails is answered, and the rest is written again at once, without new
+    /// ones: a writer that keeps failing must not hold up its neighbours.
     async fn commit(&mut self, batch: Vec<Entry>) -> Vec<Entry> {
-        let (batch, mut later) = separate(batch);
-        self.next += 1;
-        let id = CompactString::from(format!("{}/{}", self.prefix, self.next));
-        let mutations = batch.iter().map(|e| e.mutation.clone()).collect();
-        match self.write_until_known(Txn { id, mutations }).await {
-            Outcome::Committed(version) => {
-                batch.into_iter().for_each(|e| self.answer(e, Some(version)));
-            }
-            Outcome::Conflict(failed) => {
-                let (lost, rest): (Vec<_>, Vec<_>) =
-                    batch.into_iter().enumerate().partition(|(i, _)| failed.contains(i));
-                lost.into_iter().for_each(|(_, e)| self.answer(e, None));
-                later.extend(rest.into_iter().map(|(_, e)| e));
+        let (mut batch, later) = separate(batch);
+        while !batch.is_empty() {
+            self.next += 1;
+            let id = CompactString::from(format!("{}/{}", self.prefix, self.next));
+            let mutations = batch.iter().map(|e| e.mutation.clone()).collect();
+            match self.write_until_known(Txn { id, mutations }).await {
+                Outcome::Committed(version) => {
+                    batch.drain(..).for_each(|e| self.answer(e, Some(version)));
+                }
+                Outcome::Conflict(failed) => {
+                    let (lost, rest): (Vec<_>, Vec<_>) =
+                        batch.into_iter().enumerate().partition(|(i, _)| failed.contains(i));
+                    lost.into_iter().for_each(|(_, e)| self.answer(e, None));
+                    batch = rest.into_iter().map(|(_, e)| e).collect();
+                }
             }
         }
         later
--- a/src/router/drive.rs
+++ b/src/router/drive.rs
@@ -14,6 +14,7 @@
 use crate::engine::{Engine, Parts, RunUsage, StartRun};
 use crate::error::{Error, Kind, Result};
 use crate::ids::{Digest, OrganisationId, RequestKey, RunId, TargetId, Tokens};
+use crate::membership::view::Entry;
 use crate::membership::wire::{Ask, Found, Mesh, Reply};
 use crate::platform::Platform;
 use crate::request::answer::Taken;
@@ -33,6 +34,10 @@
 const FIND_ATTEMPTS: u32 = 40;
 /// Pause between them.
 const FIND_PAUSE: Duration = Duration::from_millis(50);
+/// Further attempts to hold tokens while a router's are in doubt.
+const DOUBT_ATTEMPTS: u32 = 6;
+/// Pause between them.
+const DOUBT_PAUSE: Duration = Duration::from_millis(500);
 /// Bytes of the prompt that make up its prefix for affinity.
 const PREFIX: usize = 1_024;
 
@@ -340,7 +345,7 @@
         };
         let purpose = Purpose { amount: self.job.amount, bill, target: choice.id.clone() };
         let others = self.node.lenders_for(&self.run.organisation);
-        let held = session.reserve(&purpose, &others).await.map_err(superseded)?;
+        let held = reserve_patiently(self.node, &session, &purpose, &others).await?;
         self.held = Some(Reserved { session, held, purpose });
         Ok(())
     }
@@ -401,6 +406,32 @@
     }
 }
 
+/// Holds tokens; while a router that may have some of the same budget has just fallen silent, a
+/// refusal waits for what its witness gives back.
+///
+/// # Errors
+/// As [`Session::reserve`].
+pub async fn reserve_patiently<P: Platform, E: Engine, M: Mesh>(
+    node: &Node<P, E, M>,
+    session: &Arc<Session<P, M>>,
+    purpose: &Purpose,
+    others: &[Entry],
+) -> Result<Held> {
+    let mut attempt = 0;
+    loop {
+        let refused = match session.reserve(purpose, others).await {
+            Ok(held) => return Ok(held),
+            Err(e) => e,
+        };
+        attempt += 1;
+        let doubtful = node.lock_view().has_doubtful(node.now());
+        if refused.kind != Kind::BudgetExhausted || !doubtful || attempt > DOUBT_ATTEMPTS {
+            return Err(superseded(refused));
+        }
+        tokio::time::sleep(DOUBT_PAUSE).await;
+    }
+}
+
 /// To a caller, a router that was superseded is one that cannot reach the ledger for a moment.
 pub fn superseded(e: Error) -> Error {
     if e.kind == Kind::Fenced { Error::new(Kind::PlatformAway, e.message) } else { e }
--- a/src/router/drive_call.rs
+++ b/src/router/drive_call.rs
@@ -7,7 +7,7 @@
 use compact_str::format_compact;
 use serde::{Deserialize, Serialize};
 
-use super::drive::{MAX_ATTEMPTS, Reserved, find_elsewhere, log_choice, superseded};
+use super::drive::{MAX_ATTEMPTS, Reserved, find_elsewhere, log_choice, reserve_patiently};
 use super::gates::Visitor;
 use super::node::{Counts, Node};
 use super::session::Purpose;
@@ -163,7 +163,7 @@
         let purpose = Purpose { amount: self.job.cost, bill, target: target.clone() };
         let others = self.node.lenders_for(&self.run.organisation);
         let session = self.node.session();
-        let held = session.reserve(&purpose, &others).await.map_err(superseded)?;
+        let held = reserve_patiently(self.node, &session, &purpose, &others).await?;
         self.reserved = Some(Reserved { session, held, purpose });
         Ok(())
     }
--- a/src/router/peers.rs
+++ b/src/router/peers.rs
@@ -6,7 +6,7 @@
 use super::tasks::LoanBook;
 use crate::engine::Engine;
 use crate::error::{Error, Kind, Result};
-use crate::ids::{OrganisationId, RequestKey, Revision};
+use crate::ids::{OrganisationId, RequestKey, Revision, Tokens};
 use crate::membership::link::Answerer;
 use crate::membership::wire::{Ask, Found, Mesh, Reply};
 use crate::platform::Platform;
@@ -70,6 +70,14 @@
                 Ok(Reply::Copies(witness.seal(&holder)))
             }
             Ask::Find { organisation, key } => Ok(Reply::Found(self.find(&organisation, &key))),
+            Ask::Free(budget) => {
+                let free = if node.is_draining() {
+                    Tokens::ZERO
+                } else {
+                    node.session().usage(budget).await.free
+                };
+                Ok(Reply::Free(free))
+            }
             Ask::Borrow { budget, amount, copy } => {
                 if node.is_draining() {
                     return Err(Error::new(Kind::Draining, "this router drains"));
--- a/src/router/session.rs
+++ b/src/router/session.rs
@@ -243,17 +243,36 @@
             Ok(hold) => return Ok(Held { hold, lender: None }),
             Err(e) => e,
         };
-        if let Some(held) = self.borrow(purpose, others).await {
-            return Ok(held);
+        let budget = &purpose.bill.budget;
+        let mut free = self.ask_free(budget, others).await;
+        free.sort_by_key(|(tokens, _)| std::cmp::Reverse(*tokens));
+        for (_, lender) in free.iter().filter(|(tokens, _)| *tokens >= purpose.amount) {
+            if let Some(held) = self.borrow(purpose, lender).await {
+                return Ok(held);
+            }
         }
-        if refused.kind != Kind::BudgetExhausted || others.is_empty() {
+        let own = self.usage(budget.clone()).await;
+        let scattered =
+            free.iter().fold(own.free.plus(own.left), |sum, (tokens, _)| sum.plus(*tokens));
+        if refused.kind != Kind::BudgetExhausted || scattered < purpose.amount {
             return Err(refused);
         }
-        self.call_home(&purpose.bill.budget, others).await;
-        let hold = self.hold(&purpose.bill.budget, purpose.amount, true).await?;
+        self.call_home(budget, others).await;
+        let hold = self.hold(budget, purpose.amount, true).await?;
         Ok(Held { hold: self.cover_or_cancel(hold, purpose).await?, lender: None })
     }
 
+    /// What others have free of a budget.
+    async fn ask_free(&self, budget: &BudgetId, others: &[Entry]) -> Vec<(Tokens, Entry)> {
+        let asked = others.iter().map(|o| self.mesh.ask(o, Ask::Free(budget.clone())));
+        let replies = futures_util::future::join_all(asked).await;
+        let free = |(reply, other): (Result<Reply>, &Entry)| match reply {
+            Ok(Reply::Free(tokens)) => Some((tokens, other.clone())),
+            _ => None,
+        };
+        replies.into_iter().zip(others).filter_map(free).collect()
+    }
+
     /// Holds tokens of this session's grant.
     ///
     /// # Errors
@@ -419,23 +438,15 @@
         }
     }
 
-    async fn borrow(&self, purpose: &Purpose, others: &[Entry]) -> Option<Held> {
-        for lender in others {
-            let ask = Ask::Borrow {
-                budget: purpose.bill.budget.clone(),
-                amount: purpose.amount,
-                copy: purpose.copy(HoldId(0)),
-            };
-            if let Ok(Reply::Held(hold)) = self.mesh.ask(lender, ask).await {
-                log::info!(
-                    "borrow=held budget={} from={}",
-                    purpose.bill.budget,
-                    lender.incarnation
-                );
-                return Some(Held { hold, lender: Some(lender.clone()) });
-            }
-        }
-        None
+    async fn borrow(&self, purpose: &Purpose, lender: &Entry) -> Option<Held> {
+        let ask = Ask::Borrow {
+            budget: purpose.bill.budget.clone(),
+            amount: purpose.amount,
+            copy: purpose.copy(HoldId(0)),
+        };
+        let Ok(Reply::Held(hold)) = self.mesh.ask(lender, ask).await else { return None };
+        log::info!("borrow=held budget={} from={}", purpose.bill.budget, lender.incarnation);
+        Some(Held { hold, lender: Some(lender.clone()) })
     }
 
     /// Asks others to give back what they have free of a budget, so that its last tokens are not
@@ -534,7 +545,6 @@
         *self.row.lock().expect("never poisoned") = (row, version);
         let _ = self.keeper.tell(HolderVersion(version)).await;
         self.set_watch(Watch::By(to));
-        self.suspects.lock().expect("never poisoned").clear();
         self.changed.notify_waiters();
         Ok(())
     }
--- a/src/router/tasks.rs
+++ b/src/router/tasks.rs
@@ -31,6 +31,8 @@
 const HOLDERS_POLL: Duration = Duration::from_secs(5);
 /// Pause between looks at witness, wards and loans.
 const CARE: Duration = Duration::from_millis(100);
+/// Pause before a reclaim that could not be finished is tried again.
+const RECLAIM_PAUSE: Duration = Duration::from_millis(500);
 /// Room at the gate beyond the targets' batches, in percent.
 const OVERCOMMIT: u64 = 125;
 
@@ -102,6 +104,7 @@
             others.retain(|e| e.incarnation != me);
             (view.beat(now), others)
         };
+        let candidate = node.lock_view().next_candidate(now);
         let n = to.len().max(1);
         let mut chosen: Vec<Entry> =
             (0..FANOUT.min(to.len())).map(|i| to[(turn + i) % n].clone()).collect();
@@ -111,6 +114,7 @@
             let missing: Vec<Entry> = pair.members().filter(missing).cloned().collect();
             chosen.extend(missing);
         }
+        chosen.extend(candidate);
         for peer in chosen {
             tokio::spawn(beat_one(node.clone(), peer, entries.clone()));
         }
@@ -262,15 +266,11 @@
 async fn poll_holders<P: Platform, E: Engine, M: Mesh>(node: Shared<P, E, M>) {
     loop {
         if let Ok(rows) = read_holders(&node.platform).await {
-            let now = node.now();
+            let (live, gone): (Vec<_>, Vec<_>) =
+                rows.into_iter().partition(|(_, row)| row.state == HolderState::Live);
             let mut view = node.lock_view();
-            for (incarnation, row) in rows {
-                if row.state != HolderState::Live {
-                    view.remove(&incarnation);
-                } else if !view.knows(&incarnation) {
-                    view.merge(now, vec![entry_of(incarnation, row)]);
-                }
-            }
+            gone.iter().for_each(|(incarnation, _)| view.remove(incarnation));
+            view.set_candidates(live.into_iter().map(|(i, row)| entry_of(i, row)).collect());
         }
         sleep(HOLDERS_POLL.mul_f64(0.75 + fastrand::f64() / 2.0)).await;
     }
@@ -301,7 +301,7 @@
 /// Looks after the witness, dead wards, loans to the dead, and old requests.
 async fn care<P: Platform, E: Engine, M: Mesh>(node: Shared<P, E, M>, loans: Arc<LoanBook>) {
     let mut ticks = every(CARE);
-    let mut reclaimed: Vec<Incarnation> = Vec::new();
+    let reclaimed = Reclaimed::default();
     loop {
         ticks.tick().await;
         let now = node.now();
@@ -312,7 +312,7 @@
         let serving = live.iter().filter(|e| !e.leaving).count();
         node.session().set_holders(serving as u64, serving.min(width) as u64).await;
         care_witness(&node, &live).await;
-        reclaim_dead(&node, &mut reclaimed).await;
+        reclaim_dead(&node, &reclaimed);
         settle_loans(&node, &loans).await;
     }
 }
@@ -347,25 +347,34 @@
     });
 }
 
-async fn reclaim_dead<P: Platform, E: Engine, M: Mesh>(
-    node: &Shared<P, E, M>,
-    reclaimed: &mut Vec<Incarnation>,
-) {
+/// Dead wards whose grants are being settled, or are.
+type Reclaimed = Arc<Mutex<Vec<Incarnation>>>;
+
+/// Each dead ward is reclaimed by a task of its own: one whose backup cannot be reached must not
+/// keep this router from caring for its own witness.
+fn reclaim_dead<P: Platform, E: Engine, M: Mesh>(node: &Shared<P, E, M>, reclaimed: &Reclaimed) {
     let now = node.now();
     let wards = node.witness.lock().expect("no code panics while it holds the witness").holders();
     let dead: Vec<Incarnation> = {
         let view = node.lock_view();
-        wards
-            .into_iter()
-            .filter(|w| view.knows(w) && !view.alive(now, w) && !reclaimed.contains(w))
-            .collect()
+        let mut started = reclaimed.lock().expect("never poisoned");
+        let dead = |w: &Incarnation| view.knows(w) && !view.alive(now, w) && !started.contains(w);
+        let dead: Vec<Incarnation> = wards.into_iter().filter(dead).collect();
+        started.extend(dead.iter().cloned());
+        dead
     };
     for holder in dead {
-        match node.reclaimer().reclaim(&holder).await {
-            Ok(true) => reclaimed.push(holder),
-            Ok(false) => {}
-            Err(e) => log::warn!("reclaim=waits holder={holder} error={:?}", e.message),
-        }
+        let (node, reclaimed) = (node.clone(), reclaimed.clone());
+        tokio::spawn(async move {
+            let done = node.reclaimer().reclaim(&holder).await;
+            if let Err(e) = &done {
+                log::warn!("reclaim=waits holder={holder} error={:?}", e.message);
+                sleep(RECLAIM_PAUSE).await;
+            }
+            if !matches!(done, Ok(true)) {
+                reclaimed.lock().expect("never poisoned").retain(|r| *r != holder);
+            }
+        });
     }
 }
 
