Overspend after a mended cut: a backup keeps its seal

Cause: the witness reclaimed a cut-off holder with its backup's seal. The backup found the holder dead, too, saw that its row names another witness, and dropped the ward with the seal. When the zone came back, the holder's copies were taken there again, and it dispatched on tokens that had been given away. Two real neighbours were mended on the way: a repaid loan now names the incarnation that lent (numbers of holds start anew after a rejoin), and a borrowed run that goes to another target tells its lender, which no longer stops a run whose borrower is only cut off. Change: a router that is not the holder's witness forgets only wards that are not sealed; test reclaim_by_backup_keeps_seal. Bills of a solo part are still lost when its holder is superseded; its tokens stay counted as spent.

--- a/src/budget/reclaim.rs
+++ b/src/budget/reclaim.rs
@@ -93,7 +93,8 @@
     /// `PlatformAway`, `Io` or `Timeout`: nothing is given back until table and backup answer.
     pub async fn reclaim(&self, holder: &Incarnation) -> Result<bool> {
         let Some(row) = self.own_row(holder).await? else {
-            self.lock_witness().unseal(holder);
+            // As its backup this router may have sealed it for the witness: that must stand.
+            self.lock_witness().drop_unsealed(holder);
             return Ok(false);
         };
         // The backup first: while it cannot be reached, the holder may be well beside it, and
@@ -224,27 +225,27 @@
         }
     }
 
-    /// Finds out what became of one hold of a dead holder. Without evidence it stays counted as
-    /// spent.
     async fn adopt(&self, copy: Copy, tx: mpsc::UnboundedSender<Adopted>) {
+        if let Some(bill) = self.outcome(&copy).await {
+            // The other end lives as long as this one.
+            let _ = tx.send(Adopted { copy, bill });
+        }
+    }
+
+    /// Finds out what became of a run whose router died: its bill, or that there is none to make
+    /// (`Some(None)`). Without evidence, `None`: the hold stays counted as spent.
+    pub async fn outcome(&self, copy: &Copy) -> Option<Option<Bill>> {
         for _ in 0..ASK_ATTEMPTS {
-            let bill = match self.evidence(&copy).await {
-                Ok(Evidence::Ended(u)) => Some(Some(self.bill(&copy, u))),
-                Ok(Evidence::NeverRan) => Some(None),
-                Ok(Evidence::Unknown) => None,
-                Err(e) => {
-                    log::warn!("reclaim=ask run={} error={:?}", copy.bill.run, e.message);
-                    None
-                }
-            };
-            if let Some(bill) = bill {
-                // The other end lives as long as this one.
-                let _ = tx.send(Adopted { copy, bill });
-                return;
+            match self.evidence(copy).await {
+                Ok(Evidence::Ended(u)) => return Some(Some(self.bill(copy, u))),
+                Ok(Evidence::NeverRan) => return Some(None),
+                Ok(Evidence::Unknown) => {}
+                Err(e) => log::warn!("reclaim=ask run={} error={:?}", copy.bill.run, e.message),
             }
             tokio::time::sleep(ASK_PAUSE).await;
         }
         log::error!("reclaim=in_doubt run={} tokens={}", copy.bill.run, copy.amount);
+        None
     }
 
     /// Settles holds as evidence comes, all that is there together: each changes the same row.
--- a/src/budget/witness.rs
+++ b/src/budget/witness.rs
@@ -113,6 +113,14 @@
         }
     }
 
+    /// Forgets a holder that has other witnesses by now, unless it is sealed.
+    ///
+    /// Guards against a backup that opens again for a holder which the witness has reclaimed: a
+    /// cut-off holder then found cover for new requests, and the budget was spent twice.
+    pub fn drop_unsealed(&mut self, holder: &Incarnation) {
+        self.wards.retain(|w| w.sealed || w.holder != *holder);
+    }
+
     /// Takes back a seal that the table did not accept: the holder has another witness by now.
     pub fn unseal(&mut self, holder: &Incarnation) {
         self.wards.retain(|w| w.holder != *holder);
--- a/src/experiment/budget.rs
+++ b/src/experiment/budget.rs
@@ -384,6 +384,9 @@
         let memory = &fleet.net.memory;
         let rows = scan_all(memory, "bill/").await?;
         let bills: Vec<Bill> = rows.iter().map(|r| r.decode()).collect::<Result<_>>()?;
+        bills.iter().for_each(|b| {
+            log::info!("experiment=billed key={} run={} cost={}", b.key, b.run, b.cost)
+        });
         let mut keys: Vec<_> = bills.iter().map(|b| (&b.organisation, &b.key)).collect();
         keys.sort();
         let duplicate_bills = keys.windows(2).filter(|w| w[0] == w[1]).count();
@@ -392,7 +395,24 @@
         for (id, truth) in &o.budgets {
             let billed = bills.iter().filter(|b| b.budget == *id);
             let billed = billed.fold(Tokens::ZERO, |sum, b| sum.plus(b.cost));
-            overspend += billed.0.max(truth.spent.0).saturating_sub(truth.prepaid.0);
+            let over = billed.0.max(truth.spent.0).saturating_sub(truth.prepaid.0);
+            if over > 0 {
+                log::error!(
+                    "experiment=overspend budget={id} billed={billed} spent={} prepaid={}",
+                    truth.spent,
+                    truth.prepaid
+                );
+            }
+            if over > 0 {
+                let row = read_one(memory, budget_key(id)).await?;
+                log::error!("experiment=ledger budget={:?}", row.map(|r| r.value));
+                for r in scan_all(memory, "grant/").await? {
+                    if r.key.ends_with(id.as_str()) {
+                        log::error!("experiment=ledger {} {}", r.key, r.value);
+                    }
+                }
+            }
+            overspend += over;
         }
         let mut h: Histogram<u64> = Histogram::new(3).expect("three digits are in range");
         let fastest = firsts.iter().min().copied().unwrap_or_default();
--- a/src/membership/wire.rs
+++ b/src/membership/wire.rs
@@ -58,8 +58,19 @@
         /// The bill as it would be, and where it runs.
         copy: Copy,
     },
+    /// A borrowed hold's run goes to another target.
+    Move {
+        /// The incarnation that lent it.
+        lender: Incarnation,
+        /// The hold at the lender.
+        hold: HoldId,
+        /// Where it runs from now on.
+        target: TargetId,
+    },
     /// A borrowed hold's run ended with this bill, or never ran (`None`).
     Repay {
+        /// The incarnation that lent it; numbers of holds start anew with each.
+        lender: Incarnation,
         /// The hold at the lender.
         hold: HoldId,
         /// Its bill.
--- a/src/router/peers.rs
+++ b/src/router/peers.rs
@@ -84,15 +84,32 @@
                 }
                 let session = node.session();
                 let hold = session.lend(&budget, amount, copy.clone()).await?;
-                self.loans.lent(session.incarnation.clone(), hold, copy);
+                self.loans.lent(hold, copy);
                 Ok(Reply::Held(hold))
             }
-            Ask::Repay { hold, bill } => {
-                if self.loans.repaid(hold).is_some() {
-                    node.session().repaid(hold, bill).await;
+            Ask::Repay { lender, hold, bill } => {
+                // A loan of an incarnation that was sealed since is its witness's to settle. Taken
+                // for one of this incarnation's, it would free a hold whose run goes on.
+                let session = node.session();
+                let known = lender == session.incarnation && self.loans.repaid(hold).is_some();
+                log::debug!(
+                    "loan=repaid hold={} known={known} bill={:?}",
+                    hold.0,
+                    bill.as_ref().map(|b| b.cost)
+                );
+                if known {
+                    session.repaid(hold, bill).await;
                 }
                 Ok(Reply::Done)
             }
+            Ask::Move { lender, hold, target } => {
+                let session = node.session();
+                let moved =
+                    self.loans.moved(hold, target).filter(|_| lender == session.incarnation);
+                let settled = || Error::new(Kind::Fenced, "this loan is settled");
+                session.lent_moved(hold, moved.ok_or_else(settled)?).await?;
+                Ok(Reply::Done)
+            }
             Ask::Release(budget) => {
                 node.session().release(budget).await;
                 // Two commits: what is free has to be in the table before the asker looks again.
--- a/src/router/session.rs
+++ b/src/router/session.rs
@@ -327,7 +327,7 @@
     /// # Errors
     /// `Fenced` when this incarnation is sealed, `PlatformAway` when there is no cover.
     pub async fn cover(&self, copy: Copy) -> Result<()> {
-        let hold = copy.hold;
+        let (hold, run, amount) = (copy.hold, copy.bill.run.clone(), copy.amount);
         let changed = self.changed.notified();
         let first = match self.send_copy(copy.clone()).await {
             Ok(()) => return Ok(()),
@@ -335,10 +335,12 @@
             Err(e) => e,
         };
         if let Ok(true) = self.keeper.ask(GoSolo(hold)).await {
+            log::info!("cover=solo run={run} hold={} amount={amount}", hold.0);
             return Ok(());
         }
         let new_witness = tokio::time::timeout(NEW_WITNESS, changed).await.is_ok();
         if new_witness && self.send_copy(copy).await.is_ok() {
+            log::info!("cover=late run={run} hold={}", hold.0);
             return Ok(());
         }
         let message = format!("no witness can be reached: {}", first.message);
@@ -411,10 +413,14 @@
     /// # Errors
     /// As [`Session::cover`].
     pub async fn move_to(&self, held: &Held, purpose: &Purpose) -> Result<()> {
-        match held.lender {
-            None => self.cover(purpose.copy(held.hold)).await,
-            Some(_) => Ok(()),
-        }
+        let Some(lender) = &held.lender else {
+            return self.cover(purpose.copy(held.hold)).await;
+        };
+        // The lender settles by asking the target it knows of. Untold, it would hear there that
+        // the run never was, and lend the tokens again.
+        let target = purpose.target.clone();
+        let ask = Ask::Move { lender: lender.incarnation.clone(), hold: held.hold, target };
+        self.mesh.ask(lender, ask).await.map(drop)
     }
 
     /// Settles a hold with its bill. When this returns, the bill survives this router.
@@ -445,7 +451,12 @@
             copy: purpose.copy(HoldId(0)),
         };
         let Ok(Reply::Held(hold)) = self.mesh.ask(lender, ask).await else { return None };
-        log::info!("borrow=held budget={} from={}", purpose.bill.budget, lender.incarnation);
+        log::info!(
+            "borrow=held run={} budget={} from={}",
+            purpose.bill.run,
+            purpose.bill.budget,
+            lender.incarnation
+        );
         Some(Held { hold, lender: Some(lender.clone()) })
     }
 
@@ -486,7 +497,14 @@
         tokio::spawn(async move {
             const ATTEMPTS: u32 = 600;
             for _ in 0..ATTEMPTS {
-                if mesh.ask(&lender, Ask::Repay { hold, bill: bill.clone() }).await.is_ok() {
+                if mesh
+                    .ask(
+                        &lender,
+                        Ask::Repay { lender: lender.incarnation.clone(), hold, bill: bill.clone() },
+                    )
+                    .await
+                    .is_ok()
+                {
                     return;
                 }
                 tokio::time::sleep(REPAY_PAUSE).await;
@@ -585,6 +603,15 @@
         Ok(hold)
     }
 
+    /// A lent hold's run goes to another target.
+    ///
+    /// # Errors
+    /// As [`Session::cover`].
+    pub async fn lent_moved(&self, hold: HoldId, mut copy: Copy) -> Result<()> {
+        copy.hold = hold;
+        self.cover(copy).await
+    }
+
     /// A lent hold's run ended.
     pub async fn repaid(self: &Arc<Self>, hold: HoldId, bill: Option<Bill>) {
         match bill {
--- a/src/router/tasks.rs
+++ b/src/router/tasks.rs
@@ -14,9 +14,9 @@
 use crate::budget::ledger::{HOLDERS, HolderRow, HolderState};
 use crate::budget::witness::Copy;
 use crate::config::ServiceKind;
-use crate::engine::{Cancelled, Engine};
+use crate::engine::Engine;
 use crate::error::{Kind, Result};
-use crate::ids::{Incarnation, Tokens};
+use crate::ids::{Incarnation, TargetId};
 use crate::membership::entry::{backup, witness};
 use crate::membership::view::Entry;
 use crate::membership::wire::{Ask, Mesh, Reply};
@@ -39,29 +39,56 @@
 /// A node of any kind.
 pub type Shared<P, E, M> = Arc<Node<P, E, M>>;
 
+/// One hold lent to another router.
+#[derive(Clone, Debug)]
+struct Loan {
+    hold: HoldId,
+    copy: Copy,
+    settling: bool,
+}
+
 /// Holds lent to other routers.
 #[derive(Debug, Default)]
-pub struct LoanBook(Mutex<Vec<(Incarnation, HoldId, Copy)>>);
+pub struct LoanBook(Mutex<Vec<Loan>>);
 
 impl LoanBook {
+    fn lock(&self) -> std::sync::MutexGuard<'_, Vec<Loan>> {
+        self.0.lock().expect("no code panics while it holds the loans")
+    }
+
     /// A hold was lent.
-    pub fn lent(&self, lender: Incarnation, hold: HoldId, copy: Copy) {
-        self.0.lock().expect("never poisoned").push((lender, hold, copy));
+    pub fn lent(&self, hold: HoldId, copy: Copy) {
+        self.lock().push(Loan { hold, copy, settling: false });
+    }
+
+    /// A lent hold's run goes to another target; `None` when the loan is settled or about to be.
+    pub fn moved(&self, hold: HoldId, target: TargetId) -> Option<Copy> {
+        let mut loans = self.lock();
+        let loan = loans.iter_mut().find(|l| l.hold == hold && !l.settling)?;
+        loan.copy.target = target;
+        Some(loan.copy.clone())
     }
 
     /// A lent hold is dealt with; `None` when it was already.
     pub fn repaid(&self, hold: HoldId) -> Option<Copy> {
-        let mut book = self.0.lock().expect("never poisoned");
-        let place = book.iter().position(|(_, h, _)| *h == hold)?;
-        Some(book.swap_remove(place).2)
+        let mut loans = self.lock();
+        let place = loans.iter().position(|l| l.hold == hold)?;
+        Some(loans.swap_remove(place).copy)
+    }
+
+    /// Whether the caller is the one to settle a dead borrower's loan.
+    fn start_settling(&self, hold: HoldId) -> bool {
+        let mut loans = self.lock();
+        let found = loans.iter_mut().find(|l| l.hold == hold && !l.settling);
+        found.map(|l| l.settling = true).is_some()
     }
 
     fn all(&self) -> Vec<(HoldId, Copy)> {
-        self.0.lock().expect("never poisoned").iter().map(|(_, h, c)| (*h, c.clone())).collect()
+        self.lock().iter().map(|l| (l.hold, l.copy.clone())).collect()
     }
 
     fn clear(&self) {
-        self.0.lock().expect("never poisoned").clear();
+        self.lock().clear();
     }
 }
 
@@ -313,7 +340,7 @@
         node.session().set_holders(serving as u64, serving.min(width) as u64).await;
         care_witness(&node, &live).await;
         reclaim_dead(&node, &reclaimed);
-        settle_loans(&node, &loans).await;
+        settle_loans(&node, &loans);
     }
 }
 
@@ -378,39 +405,29 @@
     }
 }
 
-/// A borrower that died cannot repay: the lender asks the target itself.
-async fn settle_loans<P: Platform, E: Engine, M: Mesh>(
-    node: &Shared<P, E, M>,
-    loans: &Arc<LoanBook>,
-) {
+/// A borrower that died cannot repay: the lender follows the run to its end itself. It must not
+/// stop it: a borrower that is only cut off still streams the answer to its caller.
+fn settle_loans<P: Platform, E: Engine, M: Mesh>(node: &Shared<P, E, M>, loans: &Arc<LoanBook>) {
     for (hold, copy) in loans.all() {
-        let borrower = copy
-            .bill
-            .run
-            .as_str()
-            .rsplit_once('.')
-            .and_then(|(b, _)| b.parse::<Incarnation>().ok());
+        let run = copy.bill.run.as_str();
+        let borrower = run.rsplit_once('.').and_then(|(b, _)| b.parse::<Incarnation>().ok());
         let now = node.now();
         let dead = borrower.is_none_or(|b| {
             let view = node.lock_view();
             view.knows(&b) && !view.alive(now, &b)
         });
-        if !dead {
+        if !dead || !loans.start_settling(hold) {
             continue;
         }
-        let Some(addr) = node.lock_picker().addr(&copy.target) else { continue };
-        let usage = match node.engine.cancel(&addr, &copy.bill.run).await {
-            Ok(Cancelled::NeverRan) => None,
-            Ok(Cancelled::Stopped(u) | Cancelled::Ended(u)) => Some(u),
-            Err(_) => continue,
-        };
-        if loans.repaid(hold).is_some() {
-            let cost = |u: crate::engine::RunUsage| Tokens(u.prompt_tokens).plus(Tokens(u.tokens));
-            let bill =
-                usage.map(|u| crate::budget::ledger::Bill { cost: cost(u), ..copy.bill.clone() });
-            log::info!("loan=settled run={} billed={}", copy.bill.run, bill.is_some());
-            node.session().repaid(hold, bill).await;
-        }
+        let (node, loans) = (node.clone(), loans.clone());
+        tokio::spawn(async move {
+            let session = node.session();
+            let Some(bill) = node.reclaimer().outcome(&copy).await else { return };
+            if loans.repaid(hold).is_some() {
+                log::info!("loan=settled run={} billed={}", copy.bill.run, bill.is_some());
+                session.repaid(hold, bill).await;
+            }
+        });
     }
 }
 
--- a/src/standin/local_fleet.rs
+++ b/src/standin/local_fleet.rs
@@ -353,6 +353,13 @@
         match end.await? {
             End::Whole(usage, _) => {
                 let total = began.elapsed();
+                if let Some((id, target)) = run.place() {
+                    log::info!(
+                        "caller=answered key={} run={id} target={target} tokens={}",
+                        run.key,
+                        usage.tokens
+                    );
+                }
                 let text = run.tokens().concat();
                 Ok(LocalAnswer { usage, text, first: first.unwrap_or(total), total, attempts: 1 })
             }
--- a/tests/test_budget_reclaim.rs
+++ b/tests/test_budget_reclaim.rs
@@ -255,6 +255,24 @@
     assert_eq!(late.unwrap_err().kind, Kind::Fenced);
 }
 
+#[tokio::test(start_paused = true)]
+async fn reclaim_by_backup_keeps_seal() {
+    // A budget is overspent after a zone was cut off and mended.
+    // The witness reclaims a cut-off holder with its backup's seal. The backup, too, finds the
+    // holder dead, sees that it is not the witness, and forgets all about it, the seal as well.
+    // The holder comes back, and the backup's word lets it dispatch on tokens given away.
+    let w = world(0).await;
+    let key = holder_key(&w.holder);
+    let mut row: HolderRow =
+        read_one(&w.memory, key.clone()).await.unwrap().unwrap().decode().unwrap();
+    (row.witness, row.backup) = (Some(name("w@2")), Some(name("w@1")));
+    let m = Mutation::default().put(key, &row);
+    w.memory.write(Txn { id: "backup".into(), mutations: vec![m] }).await.unwrap();
+    w.reclaimer.witness.lock().unwrap().seal(&w.holder);
+    assert!(!w.reclaimer.reclaim(&w.holder).await.unwrap());
+    assert_eq!(w.keep(copy(1, "k1", "h@1.1", 30)).unwrap_err().kind, Kind::Fenced);
+}
+
 #[tokio::test(start_paused = true)]
 async fn reclaim_twice() {
     let w = world(0).await;
