--- a/src/cmd/experiment.rs
+++ b/src/cmd/experiment.rs
@@ -4,9 +4,9 @@
 use serde::Serialize;
 
 use crate::error::Result;
-use crate::experiment::budget;
+use crate::experiment::{budget, capacity};
 
-/// Measure a decision against simpler ones, in virtual time over in-memory fakes
+/// Measure decisions: budget in virtual time over in-memory fakes, capacity in real time
 ///
 /// Example: kingcupwall experiment budget --json
 #[derive(Clone, Debug, Bpaf)]
@@ -23,7 +23,7 @@
     only: String,
     /// Print one JSON object a cell
     json: bool,
-    /// Which: budget
+    /// Which: budget, capacity
     #[bpaf(positional("NAME"))]
     name: Name,
 }
@@ -31,6 +31,7 @@
 #[derive(Clone, Copy, Debug)]
 enum Name {
     Budget,
+    Capacity,
 }
 
 impl std::str::FromStr for Name {
@@ -39,7 +40,8 @@
     fn from_str(s: &str) -> std::result::Result<Name, String> {
         match s {
             "budget" => Ok(Name::Budget),
-            other => Err(format!("no experiment {other:?}; there is: budget")),
+            "capacity" => Ok(Name::Capacity),
+            other => Err(format!("no experiment {other:?}; there are: budget, capacity")),
         }
     }
 }
@@ -64,9 +66,10 @@
 pub fn run(args: &Args) -> Result<()> {
     match args.name {
         Name::Budget => {
-            virtual_time(budget::run(args.requests, args.seed, &args.only, |c| args.show(c)))
-                .map(drop)
+            let show = |c: &budget::Cell| args.show(c);
+            virtual_time(budget::run(args.requests, args.seed, &args.only, show)).map(drop)
         }
+        Name::Capacity => super::block_on(capacity::run(|p| args.show(p))),
     }
 }
 
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -5,6 +5,7 @@
 pub mod call;
 pub mod check;
 pub mod demo;
+pub mod digest;
 pub mod experiment;
 pub mod load;
 pub mod router;
--- a/src/experiment/mod.rs
+++ b/src/experiment/mod.rs
@@ -1,3 +1,4 @@
 //! Experiments: the project's decisions measured against simpler ones.
 
 pub mod budget;
+pub mod capacity;
