--- /dev/null
+++ b/tests/test_api.rs
@@ -0,0 +1,195 @@
+//! The callers' API over real sockets: bad input, refusals, streams.
+
+use std::time::Duration;
+
+use kingcupwall::api::{IDEMPOTENCY_KEY, LAST_EVENT_ID};
+use kingcupwall::client::{Caller, ChatCall};
+use kingcupwall::error::Kind;
+use kingcupwall::ids::{Digest, ZoneId};
+use kingcupwall::standin::fleet::{
+    PlatformHost, RouterHost, TargetHost, router_settings, submit_first,
+};
+use kingcupwall::standin::platform::PlatformLimits;
+use kingcupwall::standin::target::{TargetFaults, TargetSetup};
+use rstest::rstest;
+use serde_json::{Value, json};
+
+use crate::workdir::name;
+
+struct Town {
+    platform: PlatformHost,
+    target: TargetHost,
+    router: RouterHost,
+}
+
+async fn town() -> Town {
+    let platform = PlatformHost::start(PlatformLimits::default()).await.unwrap();
+    let zone: ZoneId = name("a");
+    let serves = vec!["m".into(), "filing".into()];
+    let setup = TargetSetup { serves, pace: Duration::from_millis(2), ..TargetSetup::default() };
+    let target = TargetHost::start(&platform.memory, "t0", &zone, setup).await.unwrap();
+    let settings = router_settings(platform.served.addr, "r0", &zone);
+    let router = RouterHost::start(settings).await.unwrap();
+    let text = format!(
+        "[fleet]\nentry_lifetime = 1s\n[service chat]\nmodel = m\nbytes_per_token = 4\nmax_tokens = 500\n\
+         [service filing]\nkind = plain\nrepeatable = status\n\
+         [organisation acme]\nkey = {}\n[budget acme/main]\nprepaid = 100k\n",
+        Digest::of(b"key")
+    );
+    submit_first(router.api, &text).await.unwrap();
+    router.ready().await;
+    Town { platform, target, router }
+}
+
+fn http() -> reqwest::Client {
+    reqwest::Client::builder().no_proxy().build().unwrap()
+}
+
+fn chat() -> Value {
+    json!({ "model": "chat", "messages": [{ "role": "user", "content": "hi" }], "max_tokens": 20 })
+}
+
+async fn kind_of(resp: reqwest::Response) -> (u16, String, Value) {
+    let status = resp.status().as_u16();
+    let body: Value = resp.json().await.unwrap();
+    (status, body["error"]["kind"].as_str().unwrap_or("").into(), body["error"]["not_run"].clone())
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn chat_bad_input() {
+    // Whatever a caller sends, it gets the right kind of refusal, and the router lives.
+    let t = town().await;
+    let url = format!("http://{}/v1/chat/completions", t.router.api);
+    let post = |body: Vec<u8>| http().post(&url).bearer_auth("key").body(body);
+    let json = |v: Value| post(v.to_string().into_bytes());
+    let with = |key: &str, v: Value| {
+        let mut body = chat();
+        body[key] = v;
+        json(body)
+    };
+    let cases = [
+        ("broken json", post(b"{\"model\":".to_vec()), 400, "bad_request"),
+        ("not utf-8", post(vec![0xff, 0xfe]), 400, "bad_request"),
+        ("large body", post(vec![b' '; 50 << 20]), 413, "too_large"),
+        ("unknown model", with("model", json!("nope")), 404, "not_found"),
+        ("crlf in model", with("model", json!("a\r\nb")), 404, "not_found"),
+        ("plain service as model", with("model", json!("filing")), 404, "not_found"),
+        ("no messages", with("messages", json!([])), 400, "bad_request"),
+        ("too many tokens", with("max_tokens", json!(u64::MAX)), 400, "bad_request"),
+        ("negative tokens", with("max_tokens", json!(-1)), 400, "bad_request"),
+        ("bad key", json(chat()).header(IDEMPOTENCY_KEY, "a b"), 400, "bad_request"),
+        ("bad event id", json(chat()).header(LAST_EVENT_ID, "x"), 400, "bad_request"),
+        (
+            "wrong api key",
+            http().post(&url).bearer_auth("wrong").body(chat().to_string()),
+            401,
+            "unauthorized",
+        ),
+        ("no api key", http().post(&url).body(chat().to_string()), 401, "unauthorized"),
+        ("unknown budget", json(chat()).header("x-budget", "nope"), 404, "not_found"),
+    ];
+    for (case, req, status, kind) in cases {
+        // A router may refuse a large body before it was read whole, and close.
+        let Ok(resp) = req.send().await else {
+            assert_eq!(case, "large body");
+            continue;
+        };
+        let (got, got_kind, not_run) = kind_of(resp).await;
+        assert_eq!((got, got_kind.as_str(), not_run), (status, kind, json!(true)), "{case}");
+    }
+    let resp = json(chat()).send().await.unwrap();
+    assert_eq!(resp.status(), 200);
+    t.router.kill();
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn chat_key_reused_and_replayed() {
+    let t = town().await;
+    let url = format!("http://{}/v1/chat/completions", t.router.api);
+    let send = |body: Value| {
+        http().post(&url).bearer_auth("key").header(IDEMPOTENCY_KEY, "k1").json(&body).send()
+    };
+    let first: Value = send(chat()).await.unwrap().json().await.unwrap();
+    let again: Value = send(chat()).await.unwrap().json().await.unwrap();
+    assert_eq!(first, again);
+    assert_eq!(t.target.target.started(), 1);
+    let mut other = chat();
+    other["messages"][0]["content"] = json!("something else");
+    let (status, kind, _) = kind_of(send(other).await.unwrap()).await;
+    assert_eq!((status, kind.as_str()), (422, "key_reused"));
+    t.router.kill();
+}
+
+#[rstest]
+#[case::cut(TargetFaults { cut_after: Some(7), ..TargetFaults::default() }, false)]
+#[case::repeated(TargetFaults { repeat_tokens: true, ..TargetFaults::default() }, true)]
+#[case::crossed(TargetFaults { cross_runs: true, ..TargetFaults::default() }, true)]
+#[tokio::test(flavor = "multi_thread")]
+async fn chat_faulty_target(#[case] faults: TargetFaults, #[case] whole: bool) {
+    // A caller gets a cut answer for a whole one, or words twice, or another caller's words.
+    let t = town().await;
+    t.target.target.set_faults(faults);
+    let caller = Caller::new(vec![t.router.api.to_string()], "key", None).unwrap();
+    let call = ChatCall {
+        model: "chat".into(),
+        content: "a prompt with a long answer 3".into(),
+        max_tokens: 400,
+        key: name("k1"),
+        priority: 5,
+        patience: Duration::from_secs(3),
+    };
+    let got = caller.chat(&call, |_| {}).await;
+    assert_eq!(got.is_ok(), whole, "{got:?}");
+    t.router.kill();
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn service_needs_key() {
+    let t = town().await;
+    let post = |path: &str| {
+        http().post(format!("http://{}/v1/services/filing/{path}", t.router.api)).bearer_auth("key")
+    };
+    let (status, kind, _) = kind_of(post("file").body("x").send().await.unwrap()).await;
+    assert_eq!((status, kind.as_str()), (400, "bad_request"));
+    assert_eq!(post("status").body("x").send().await.unwrap().status(), 200);
+    let filed = post("file").header(IDEMPOTENCY_KEY, "c1").body("x").send().await.unwrap();
+    assert_eq!(filed.status(), 200);
+    let calls = t.target.target.calls();
+    assert_eq!(calls.iter().find(|(k, _)| k.as_str() == "c1").map(|(_, n)| *n), Some(1));
+    t.router.kill();
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn stop_drains_open_stream() {
+    // A planned stop cuts an answer short.
+    // The router is told to stop with a stream open: it finishes it, and leaves nothing held.
+    let t = town().await;
+    let caller = Caller::new(vec![t.router.api.to_string()], "key", None).unwrap();
+    let call = ChatCall {
+        model: "chat".into(),
+        content: "a prompt with a long answer 3".into(),
+        max_tokens: 500,
+        key: name("k1"),
+        priority: 5,
+        patience: Duration::from_secs(20),
+    };
+    let sent = tokio::spawn(async move { caller.chat(&call, |_| {}).await });
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    t.router.stop().await;
+    let got = sent.await.unwrap().unwrap();
+    assert_eq!(got.attempts, 1);
+    let grants = kingcupwall::platform::scan_all(&t.platform.memory, "grant/").await.unwrap();
+    assert!(grants.is_empty(), "{grants:?}");
+    let bills = kingcupwall::platform::scan_all(&t.platform.memory, "bill/").await.unwrap();
+    assert_eq!(bills.len(), 1);
+}
+
+#[test]
+fn answer_table_is_closed() {
+    // Every kind has a name of its own and a status that a caller can act on.
+    let mut names: Vec<&str> = Kind::ALL.iter().map(|k| k.answer().name).collect();
+    names.sort();
+    names.dedup();
+    assert_eq!(names.len(), Kind::ALL.len());
+    assert!(Kind::ALL.iter().all(|k| (400..600).contains(&k.answer().status)));
+}
--- a/tests/tests.rs
+++ b/tests/tests.rs
@@ -1,6 +1,7 @@
 //! All integration tests, one crate.
 
 mod test_answer;
+mod test_api;
 mod test_budget_holder;
 mod test_budget_random;
 mod test_budget_reclaim;
