Lost races are tried again at once; entry answers spread callers; parse in line time

(2) an entry answer without a zone named the same router first to everybody. Change: a change that lost a race is made again after its rows were read; each entry answer starts elsewhere; owners are looked up by binary search.

--- a/src/budget/holder.rs
+++ b/src/budget/holder.rs
@@ -86,6 +86,8 @@
     waiting: VecDeque<Waiting>,
     pending: VecDeque<PendingBill>,
     in_flight: Option<Change>,
+    /// The last change lost a race: it is made again at once, not with the next record.
+    retry: bool,
     rate: Rate,
     used: Millis,
 }
@@ -104,6 +106,7 @@
             waiting: VecDeque::new(),
             pending: VecDeque::new(),
             in_flight: None,
+            retry: false,
             rate: Rate::default(),
             used: now,
         }
@@ -444,9 +447,11 @@
         let Some(change) = p.in_flight.take() else { return Vec::new() };
         let Some(version) = version else {
             p.known = false;
+            p.retry = true;
             p.in_flight = Some(Change::default());
             return vec![Effect::Load(id.clone())];
         };
+        p.retry = false;
         let (budget, grant) = change.after(p.budget.row, p.grant.row);
         if change.moves_budget() {
             p.budget = Seen { version: Some(version), row: budget };
@@ -560,10 +565,11 @@
         let p = &mut self.pockets[place];
         let waiting = p.waiting.iter().fold(Tokens::ZERO, |sum, w| sum.plus(w.amount));
         let short = waiting.minus(p.free());
+        let record = self.flushing || p.retry;
         let mut change = Change::default();
         if short > Tokens::ZERO {
             change.extend = self.extension(now, place, short);
-        } else if self.flushing {
+        } else if record {
             let idle = self.is_idle(now, place);
             if !idle && self.is_low(now, place) {
                 change.extend = self.extension(now, place, Tokens::ZERO);
@@ -575,7 +581,7 @@
         }
         change.solo = change.extend.scaled(u64::from(self.solo_per_mille), 1_000);
         let p = &self.pockets[place];
-        if self.flushing || change.moves_budget() || p.pending.len() >= MAX_BILLS_PER_CHANGE {
+        if record || change.moves_budget() || p.pending.len() >= MAX_BILLS_PER_CHANGE {
             let bills = p.pending.iter().take(MAX_BILLS_PER_CHANGE);
             change.bills = bills.map(|b| b.bill.clone()).collect();
         }
--- a/src/cmd/standin.rs
+++ b/src/cmd/standin.rs
@@ -7,7 +7,7 @@
 use compact_str::CompactString;
 
 use super::{block_on, stopped};
-use crate::error::Result;
+use crate::error::{Error, Kind, Result};
 use crate::ids::{Millis, ZoneId};
 use crate::platform::memory::Memory;
 use crate::platform::{Instance, InstanceState};
@@ -16,6 +16,11 @@
 use crate::standin::platform::{PlatformLimits, platform_app};
 use crate::standin::target::{Target, TargetSetup};
 
+/// Attempts to be listed at the platform.
+const LIST_ATTEMPTS: u32 = 20;
+/// Pause between them.
+const LIST_PAUSE: Duration = Duration::from_millis(250);
+
 /// Run a stand-in for the platform or for a target
 ///
 /// Example: kingcupwall standin platform --listen 127.0.0.1:9000
@@ -113,6 +118,14 @@
 async fn list(platform: &str, instance: Instance) -> Result<()> {
     let client = reqwest::Client::builder().no_proxy().timeout(Duration::from_secs(5)).build()?;
     let url = format!("http://{platform}/admin/instances");
-    client.post(url).json(&instance).send().await?.error_for_status()?;
-    Ok(())
+    let mut last = Error::new(Kind::Io, "not sent");
+    // The platform may be starting at the same time.
+    for _ in 0..LIST_ATTEMPTS {
+        match client.post(&url).json(&instance).send().await {
+            Ok(resp) => return Ok(resp.error_for_status().map(drop)?),
+            Err(e) => last = e.into(),
+        }
+        tokio::time::sleep(LIST_PAUSE).await;
+    }
+    Err(last)
 }
--- a/src/config/parse.rs
+++ b/src/config/parse.rs
@@ -140,8 +140,10 @@
 }
 
 pub(super) fn check_references(parts: &[Section<'_>], cfg: &Config, findings: &mut Vec<Finding>) {
+    let mut standing: Vec<(&str, &str)> = parts.iter().map(|p| (p.kind, p.name)).collect();
+    standing.sort();
     let missing = |name: &str| {
-        let stands = parts.iter().any(|p| p.kind == "service" && p.name == name);
+        let stands = standing.binary_search(&("service", name)).is_ok();
         !stands && !cfg.services.iter().any(|s| s.id.as_str() == name)
     };
     for s in parts {
@@ -158,16 +160,21 @@
             findings.extend(unknown.into_iter().map(report));
         }
         if s.kind == "budget" {
-            check_owner(s, parts, cfg, findings);
+            check_owner(s, &standing, cfg, findings);
         }
     }
     check_cycles(parts, cfg, findings);
 }
 
-fn check_owner(s: &Section<'_>, parts: &[Section<'_>], cfg: &Config, findings: &mut Vec<Finding>) {
+fn check_owner(
+    s: &Section<'_>,
+    standing: &[(&str, &str)],
+    cfg: &Config,
+    findings: &mut Vec<Finding>,
+) {
     let owner = s.name.split_once('/').map_or("", |(o, _)| o);
     // One with mistakes of its own counts: it is reported where it stands.
-    let stands = parts.iter().any(|p| p.kind == "organisation" && p.name == owner);
+    let stands = standing.binary_search(&("organisation", owner)).is_ok();
     if let Ok(id) = owner.parse()
         && !stands
         && cfg.organisation(&id).is_none()
--- a/src/membership/entry.rs
+++ b/src/membership/entry.rs
@@ -31,7 +31,8 @@
     out
 }
 
-/// The answer to a caller: the home routers, those in the caller's zone first.
+/// The answer to a caller: the home routers, those in the caller's zone first, in an order that
+/// differs from answer to answer.
 pub fn answer(
     live: &[Entry],
     organisation: &OrganisationId,
@@ -39,6 +40,11 @@
     near: Option<&ZoneId>,
 ) -> Vec<Entry> {
     let mut out = home(live, organisation, width);
+    if !out.is_empty() {
+        // Callers use the first address: each answer starts elsewhere, so that they spread.
+        let start = fastrand::usize(..out.len());
+        out.rotate_left(start);
+    }
     out.sort_by_key(|e| near.is_some_and(|z| e.zone != *z));
     out
 }
--- a/tests/test_budget_holder.rs
+++ b/tests/test_budget_holder.rs
@@ -168,3 +168,21 @@
     carry_out(&mut h, effects, &Loaded::default());
     assert!(!matches!(a, Admit::Refused(_)));
 }
+
+#[test]
+fn loaded_after_lost_race() {
+    // Bills of served requests are missing from the table for many seconds.
+    // Routers that extend grants of one budget at the same time undo each other's records, and
+    // each waits for its next common record. Who lost a race tries again at once.
+    let mut h = holder();
+    let hold = admit(&mut h, 1_000, 10, &Loaded::default()).unwrap();
+    h.settle(NOW, hold, bill("k", "r", 4));
+    h.tick(Millis(NOW.0 + 10));
+    h.changed(NOW, &id(), None);
+    let grant =
+        kingcupwall::budget::ledger::GrantRow { granted: Tokens(100), ..Default::default() };
+    let rows =
+        Loaded { grant: Seen { version: Some(Version(3)), row: grant }, ..Loaded::default() };
+    let effects = h.loaded(NOW, &id(), rows);
+    assert!(effects.iter().any(|e| matches!(e, Effect::Write(_, c, ..) if c.bills.len() == 1)));
+}
