--- a/src/api/operator.rs
+++ b/src/api/operator.rs
@@ -188,10 +188,9 @@
 ) -> BudgetReport {
     let open = |p: &&HolderPart| p.alive && p.state == HolderState::Live;
     let rest = |p: &HolderPart| p.granted.minus(p.settled);
-    let sum = |it: &mut dyn Iterator<Item = Tokens>| it.fold(Tokens::ZERO, Tokens::plus);
-    let granted = sum(&mut holders.iter().filter(open).map(rest));
-    let in_doubt = sum(&mut holders.iter().filter(|p| !open(p)).map(rest));
-    let settled = row.closed.plus(sum(&mut holders.iter().map(|p| p.settled)));
+    let granted = sum(holders.iter().filter(open).map(rest));
+    let in_doubt = sum(holders.iter().filter(|p| !open(p)).map(rest));
+    let settled = row.closed.plus(sum(holders.iter().map(|p| p.settled)));
     BudgetReport {
         budget,
         prepaid,
--- a/src/main.rs
+++ b/src/main.rs
@@ -3,7 +3,9 @@
 use std::process::ExitCode;
 
 use bpaf::Bpaf;
+use eyre::WrapErr;
 use kingcupwall::cmd;
+use kingcupwall::error::Error;
 use log::LevelFilter;
 
 /// A router fleet for prepaid token budgets
@@ -33,13 +35,11 @@
     Submit(#[bpaf(external(cmd::submit::args))] cmd::submit::Args),
 }
 
-fn main() -> ExitCode {
-    let options = options().run();
+fn run(options: &Options) -> eyre::Result<()> {
     let log_config = simplelog::ConfigBuilder::new().set_time_format_rfc3339().build();
-    if let Err(e) = simplelog::WriteLogger::init(options.log, log_config, std::io::stderr()) {
-        eprintln!("kingcupwall: {e}");
-    }
-    let result = match &options.command {
+    simplelog::WriteLogger::init(options.log, log_config, std::io::stderr())
+        .wrap_err("logging cannot be set up")?;
+    match &options.command {
         Command::Ask(a) => cmd::ask::run(a),
         Command::Budget(a) => cmd::budget::run(a),
         Command::Call(a) => cmd::call::run(a),
@@ -52,12 +52,13 @@
         Command::Standin(a) => cmd::standin::run(a),
         Command::Status(a) => cmd::status::run(a),
         Command::Submit(a) => cmd::submit::run(a),
-    };
-    match result {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(e) => {
-            eprintln!("kingcupwall: {}", e.message);
-            ExitCode::from(e.kind.answer().exit)
-        }
-    }
+    }?;
+    Ok(())
+}
+
+fn main() -> ExitCode {
+    let Err(report) = run(&options().run()) else { return ExitCode::SUCCESS };
+    eprintln!("kingcupwall: {report:#}");
+    let exit = report.downcast_ref::<Error>().map_or(1, |e| e.kind.answer().exit);
+    ExitCode::from(exit)
 }
