--- a/src/api/operator.rs
+++ b/src/api/operator.rs
@@ -180,6 +180,10 @@
     Ok(out)
 }
 
+fn sum(parts: impl Iterator<Item = Tokens>) -> Tokens {
+    parts.fold(Tokens::ZERO, Tokens::plus)
+}
+
 fn report(
     budget: BudgetId,
     prepaid: Tokens,
