A call whose owner is gone is answered unknown at once

Cause: a retry of a claimed call at the router that keeps the dead owner's copy waited a hundred pauses of 50 ms before it said what it knew from the start: an answer that is given up must be given at once. Change: it waits only while the owner of the claim is alive.

--- a/src/router/drive_call.rs
+++ b/src/router/drive_call.rs
@@ -229,13 +229,18 @@
             let found = find_elsewhere(self.node, &self.run.organisation, &self.run.key).await;
             match found {
                 Some(f) if f.service.is_some() => return f.service.ok_or_else(unknown),
-                Some(_) => tokio::time::sleep(JOIN_PAUSE).await,
-                None => return Err(unknown()),
+                Some(_) if self.is_alive(&row.owner) => tokio::time::sleep(JOIN_PAUSE).await,
+                // Its owner is gone: nobody will ever know more, so the caller learns it now.
+                _ => return Err(unknown()),
             }
         }
         Err(unknown())
     }
 
+    fn is_alive(&self, owner: &Incarnation) -> bool {
+        self.node.lock_view().alive(self.node.now(), owner)
+    }
+
     async fn dispatch(&mut self, id: &RunId, first: Choice) -> (Stage, Result<ServiceAnswer>) {
         let mut choice = first;
         let mut tried = Vec::new();
--- a/tests/test_fleet.rs
+++ b/tests/test_fleet.rs
@@ -2,12 +2,14 @@
 
 use std::time::Duration;
 
+use kingcupwall::budget::holder::HoldId;
 use kingcupwall::budget::ledger::Bill;
+use kingcupwall::budget::witness::Copy;
 use kingcupwall::error::Kind;
 use kingcupwall::experiment::budget::{BudgetPolicy, Workload, ledger_adds_up, run_one};
-use kingcupwall::ids::{Digest, OrganisationId, RequestKey};
+use kingcupwall::ids::{Digest, Incarnation, OrganisationId, RequestKey, Tokens};
 use kingcupwall::platform::memory::Faults;
-use kingcupwall::platform::scan_all;
+use kingcupwall::platform::{Mutation, Table, Txn, scan_all};
 use kingcupwall::request::life::Repeatable;
 use kingcupwall::standin::batch::{expected_token, natural_length};
 use kingcupwall::standin::local::{Process, TargetFate};
@@ -15,7 +17,7 @@
 use rstest::rstest;
 use tokio::time::sleep;
 
-use crate::workdir::name;
+use crate::workdir::{bill, name};
 
 const MAX_TOKENS: u64 = 200;
 
@@ -177,6 +179,33 @@
     assert_eq!(bills(&f).await.len(), 1);
 }
 
+#[tokio::test(start_paused = true)]
+async fn call_owner_gone() {
+    // A caller waits for seconds to hear that nothing is known of its claim.
+    // The router that claimed it died, and the one that is asked keeps the copy of its hold.
+    // Nobody goes on with the call, so "unknown" is the answer at once.
+    let f = fleet(100_000).await;
+    let owner: Incarnation = name("gone@1");
+    let row =
+        serde_json::json!({ "content": Digest::of(b"body"), "owner": owner, "state": "taken" });
+    let m = Mutation::default().put("claim/acme/claim-1", &row);
+    f.net.memory.write(Txn { id: "claim".into(), mutations: vec![m] }).await.unwrap();
+    let mut bill = bill("claim-1", "gone@1.1", 5);
+    bill.content = Digest::of(b"body");
+    let copy =
+        Copy { hold: HoldId(1), amount: Tokens(5), bill, target: name("t-a-0"), ended: false };
+    f.places[0].node.witness.lock().unwrap().keep(&owner, copy).unwrap();
+    let began = tokio::time::Instant::now();
+    let e = f
+        .caller()
+        .call_at(0, "filing", &org(), &name("claim-1"), Repeatable::No)
+        .await
+        .unwrap_err();
+    assert_eq!(e.kind, Kind::OutcomeUnknown);
+    // On the paused clock this is exact: a commit and a few round trips.
+    assert!(began.elapsed() < Duration::from_secs(1), "{:?}", began.elapsed());
+}
+
 #[tokio::test(start_paused = true)]
 async fn call_platform_away() {
     // A claim that could not be recorded runs, and after a crash runs again.
