Overhead of a router against calling the target directly

Change: experiment overhead sends requests in turn directly and through a router with a witness, in one run.

--- a/src/cmd/experiment.rs
+++ b/src/cmd/experiment.rs
@@ -4,9 +4,10 @@
 use serde::Serialize;
 
 use crate::error::Result;
-use crate::experiment::{budget, capacity};
+use crate::experiment::{budget, capacity, overhead};
 
-/// Measure decisions: budget in virtual time over in-memory fakes, capacity in real time
+/// Measure decisions: budget in virtual time over in-memory fakes, the others in
+/// real time
 ///
 /// Example: kingcupwall experiment budget --json
 #[derive(Clone, Debug, Bpaf)]
@@ -23,7 +24,7 @@
     only: String,
     /// Print one JSON object a cell
     json: bool,
-    /// Which: budget, capacity
+    /// Which: budget, capacity, overhead
     #[bpaf(positional("NAME"))]
     name: Name,
 }
@@ -32,6 +33,7 @@
 enum Name {
     Budget,
     Capacity,
+    Overhead,
 }
 
 impl std::str::FromStr for Name {
@@ -41,7 +43,8 @@
         match s {
             "budget" => Ok(Name::Budget),
             "capacity" => Ok(Name::Capacity),
-            other => Err(format!("no experiment {other:?}; there are: budget, capacity")),
+            "overhead" => Ok(Name::Overhead),
+            other => Err(format!("no experiment {other:?}; there are: budget, capacity, overhead")),
         }
     }
 }
@@ -70,6 +73,10 @@
             virtual_time(budget::run(args.requests, args.seed, &args.only, show)).map(drop)
         }
         Name::Capacity => super::block_on(capacity::run(|p| args.show(p))),
+        Name::Overhead => super::block_on(async {
+            args.show(&overhead::run(args.requests).await?);
+            Ok(())
+        }),
     }
 }
 
--- a/src/experiment/mod.rs
+++ b/src/experiment/mod.rs
@@ -2,3 +2,4 @@
 
 pub mod budget;
 pub mod capacity;
+pub mod overhead;
