One place opens a request, one a call

Cause: the same steps, find the key or start the driver, stood in the chat handler, the service handler and twice in the in-memory callers. Change: open_run beside drive, open_call beside drive_call; all four use them. Conclusion: in-memory callers now take the handlers' own way in.

--- a/src/api/chat.rs
+++ b/src/api/chat.rs
@@ -20,8 +20,8 @@
 use crate::ids::{BudgetId, Digest, RequestKey, ServiceId, Tokens};
 use crate::membership::wire::Mesh;
 use crate::platform::Platform;
-use crate::request::runs::{End, Lookup, Run};
-use crate::router::drive::{Job, drive};
+use crate::request::runs::{End, Run};
+use crate::router::drive::{Job, open_run};
 use crate::router::gates::Visitor;
 use crate::router::node::{Counts, Node};
 
@@ -188,13 +188,7 @@
         check_open(node)?;
     }
     let new = Run::new(org.id.clone(), key, content, budget);
-    match node.lock_runs().open(node.now(), new)? {
-        Lookup::Known(run) => Ok(run),
-        Lookup::New(run) => {
-            tokio::spawn(drive(node.clone(), run.clone(), job));
-            Ok(run)
-        }
-    }
+    open_run(node, new, job)
 }
 
 async fn whole_answer(
--- a/src/api/service.rs
+++ b/src/api/service.rs
@@ -18,8 +18,8 @@
 use crate::membership::wire::Mesh;
 use crate::platform::Platform;
 use crate::request::life::Repeatable;
-use crate::request::runs::{End, Lookup, Run};
-use crate::router::drive_call::{CallJob, drive_call};
+use crate::request::runs::{End, Run};
+use crate::router::drive_call::{CallJob, open_call};
 use crate::router::node::{Counts, Node};
 
 /// Handles a call.
@@ -71,14 +71,7 @@
         check_open(&node)?;
     }
     let new = Run::new(org.id.clone(), key.clone(), content, budget);
-    let opened = node.lock_runs().open(node.now(), new)?;
-    let run = match opened {
-        Lookup::Known(run) => run,
-        Lookup::New(run) => {
-            tokio::spawn(drive_call(node.clone(), run.clone(), job));
-            run
-        }
-    };
+    let run = open_call(&node, new, job)?;
     let mut resp = wait(&run).await.map_or_else(IntoResponse::into_response, plain);
     if let Ok(value) = HeaderValue::from_str(key.as_str()) {
         resp.headers_mut().insert(IDEMPOTENCY_KEY, value);
--- a/src/router/drive.rs
+++ b/src/router/drive.rs
@@ -19,7 +19,7 @@
 use crate::platform::Platform;
 use crate::request::answer::Taken;
 use crate::request::life::{Next, Repeatable, Stage, after_failure};
-use crate::request::runs::{End, Run};
+use crate::request::runs::{End, Lookup, Run};
 use crate::route::picker::Choice;
 
 /// Attempts of one request at most, resumptions at the same target not counted.
@@ -91,6 +91,25 @@
     (!found.is_empty()).then(|| found.swap_remove(started))
 }
 
+/// Finds the request of that key, or starts the new one.
+///
+/// # Errors
+/// `KeyReused` when the key belongs to other content.
+pub fn open_run<P: Platform, E: Engine, M: Mesh>(
+    node: &Arc<Node<P, E, M>>,
+    new: Run,
+    job: Job,
+) -> Result<Arc<Run>> {
+    let opened = node.lock_runs().open(node.now(), new)?;
+    Ok(match opened {
+        Lookup::Known(run) => run,
+        Lookup::New(run) => {
+            tokio::spawn(drive(node.clone(), run.clone(), job));
+            run
+        }
+    })
+}
+
 /// Drives `run` to its end. Whatever happens, its callers are told.
 pub async fn drive<P: Platform, E: Engine, M: Mesh>(
     node: Arc<Node<P, E, M>>,
--- a/src/router/drive_call.rs
+++ b/src/router/drive_call.rs
@@ -18,7 +18,7 @@
 use crate::membership::wire::Mesh;
 use crate::platform::{Mutation, Platform, RowKey, Version, read_one};
 use crate::request::life::{Next, Repeatable, Stage, after_failure};
-use crate::request::runs::{End, Run};
+use crate::request::runs::{End, Lookup, Run};
 use crate::route::picker::Choice;
 
 /// Bytes of an answer that the claim's row keeps for replays.
@@ -64,6 +64,25 @@
     state: ClaimState,
 }
 
+/// Finds the call of that key, or starts the new one.
+///
+/// # Errors
+/// `KeyReused` when the key belongs to other content.
+pub fn open_call<P: Platform, E: Engine, M: Mesh>(
+    node: &Arc<Node<P, E, M>>,
+    new: Run,
+    job: CallJob,
+) -> Result<Arc<Run>> {
+    let opened = node.lock_runs().open(node.now(), new)?;
+    Ok(match opened {
+        Lookup::Known(run) => run,
+        Lookup::New(run) => {
+            tokio::spawn(drive_call(node.clone(), run.clone(), job));
+            run
+        }
+    })
+}
+
 /// Drives `run` to its end. Whatever happens, its callers are told.
 pub async fn drive_call<P: Platform, E: Engine, M: Mesh>(
     node: Arc<Node<P, E, M>>,
--- a/src/standin/local_fleet.rs
+++ b/src/standin/local_fleet.rs
@@ -23,11 +23,11 @@
 use crate::ids::{Digest, Millis, OrganisationId, RequestKey, Revision, ServiceId, Tokens, ZoneId};
 use crate::membership::entry::answer;
 use crate::request::life::Repeatable;
-use crate::request::runs::{End, Lookup, Run};
+use crate::request::runs::{End, Run};
 use crate::route::picker::Policy;
 use crate::router::boot::{Boot, Booted, boot};
-use crate::router::drive::{Job, drive};
-use crate::router::drive_call::{CallJob, drive_call};
+use crate::router::drive::{Job, open_run};
+use crate::router::drive_call::{CallJob, open_call};
 
 /// What a fleet is made of.
 #[derive(Clone, Debug)]
@@ -338,14 +338,7 @@
         let (job, budget) = self.job(node, service, req)?;
         let content = Digest::of(req.prompt.as_bytes());
         let new = Run::new(req.organisation.clone(), req.key.clone(), content, budget);
-        let opened = node.lock_runs().open(node.now(), new)?;
-        let run = match opened {
-            Lookup::Known(run) => run,
-            Lookup::New(run) => {
-                tokio::spawn(drive(node.clone(), run.clone(), job));
-                run
-            }
-        };
+        let run = open_run(node, new, job)?;
         let mut first = None;
         let end = self.wait(*at, &run, || {
             first.get_or_insert_with(|| began.elapsed());
@@ -455,14 +448,7 @@
             (job, choose_budget(&cfg, org, service, None)?)
         };
         let new = Run::new(organisation.clone(), key.clone(), Digest::of(b"body"), budget);
-        let opened = node.lock_runs().open(node.now(), new)?;
-        let run = match opened {
-            Lookup::Known(run) => run,
-            Lookup::New(run) => {
-                tokio::spawn(drive_call(node.clone(), run.clone(), job));
-                run
-            }
-        };
+        let run = open_call(node, new, job)?;
         match self.wait(*at, &run, || {}).await? {
             End::Service(a) => Ok(a),
             End::Failed(e) => Err(e),
