Copies and seals name the process they are meant for

Cause: found on reading the change once more. Witness and backup are asked by address. A process that starts at the address of a dead backup would seal and answer that it has no copies; the dead one's copies, of which the witness has none when it could not be reached, would be missing in the reclaim, and the tokens of running requests given away. Change: Keep and Seal carry the incarnation that is meant; only the process that is or was it answers. Otherwise the reclaim waits, and the tokens stay counted.

--- a/src/membership/wire.rs
+++ b/src/membership/wire.rs
@@ -26,6 +26,8 @@
     Beat(Vec<Entry>),
     /// Keep copies of this holder's holds.
     Keep {
+        /// The incarnation that is meant to keep them.
+        keeper: Incarnation,
         /// The holder.
         holder: Incarnation,
         /// New or newer copies.
@@ -38,8 +40,13 @@
         /// Numbers of its holds.
         holds: Vec<HoldId>,
     },
-    /// Refuse all later copies of this holder, and tell what is known: it is taken for dead.
-    Seal(Incarnation),
+    /// Refuse all later copies of a holder, and tell what is known: it is taken for dead.
+    Seal {
+        /// The incarnation that is meant to keep copies.
+        keeper: Incarnation,
+        /// The holder.
+        holder: Incarnation,
+    },
     /// What is known of a request?
     Find {
         /// Who asked.
--- a/src/router/node.rs
+++ b/src/router/node.rs
@@ -46,7 +46,11 @@
     async fn seal_at(&self, backup: &Incarnation, holder: &Incarnation) -> Result<Vec<Copy>> {
         let unknown = || Error::new(Kind::Io, format!("backup {backup} is not known"));
         let to = self.known.iter().find(|e| e.incarnation == *backup).ok_or_else(unknown)?;
-        match self.mesh.ask(to, Ask::Seal(holder.clone())).await? {
+        match self
+            .mesh
+            .ask(to, Ask::Seal { keeper: backup.clone(), holder: holder.clone() })
+            .await?
+        {
             Reply::Copies(copies) => Ok(copies),
             _ => {
                 Err(Error::new(Kind::BadFormat, format!("backup {backup} answered something else")))
@@ -86,6 +90,7 @@
     /// Copies of other routers' holds.
     pub witness: Arc<Mutex<Witness>>,
     session: RwLock<Arc<Session<P, M>>>,
+    past: Mutex<Vec<Incarnation>>,
     draining: AtomicBool,
     refusing: AtomicBool,
     ready: AtomicBool,
@@ -172,6 +177,7 @@
             runs: Mutex::default(),
             witness: Arc::default(),
             session: RwLock::new(parts.session),
+            past: Mutex::default(),
             draining: AtomicBool::new(false),
             refusing: AtomicBool::new(false),
             ready: AtomicBool::new(false),
@@ -194,9 +200,23 @@
 
     /// Replaces the incarnation after it was sealed.
     pub fn set_session(&self, session: Arc<Session<P, M>>) {
+        self.past.lock().expect("never poisoned").push(self.session().incarnation.clone());
         *self.session.write().expect("never poisoned") = session;
     }
 
+    /// Whether this process is, or was, that incarnation.
+    ///
+    /// Guards against another process at the address of a dead one: it would answer for copies
+    /// that died with the other's memory, and the tokens of their runs would be given away.
+    ///
+    /// # Errors
+    /// `Io`, as for a router that is not there.
+    pub fn check_keeper(&self, keeper: &Incarnation) -> Result<()> {
+        let was = self.past.lock().expect("never poisoned").contains(keeper);
+        let other = || Error::new(Kind::Io, format!("{keeper} is not here any more"));
+        (was || self.session().incarnation == *keeper).then_some(()).ok_or_else(other)
+    }
+
     /// The view of other routers.
     pub fn lock_view(&self) -> MutexGuard<'_, View> {
         self.view.lock().expect("no code panics while it holds the view")
--- a/src/router/peers.rs
+++ b/src/router/peers.rs
@@ -48,7 +48,8 @@
                 }
                 Ok(Reply::Beat(mine))
             }
-            Ask::Keep { holder, copies } => {
+            Ask::Keep { keeper, holder, copies } => {
+                node.check_keeper(&keeper)?;
                 let mut witness =
                     node.witness.lock().expect("no code panics while it holds the witness");
                 // An empty message, too, has to be refused for a sealed holder.
@@ -63,7 +64,8 @@
                     .forget(&holder, &holds);
                 Ok(Reply::Done)
             }
-            Ask::Seal(holder) => {
+            Ask::Seal { keeper, holder } => {
+                node.check_keeper(&keeper)?;
                 log::info!("witness=seal holder={holder} role=backup");
                 let mut witness =
                     node.witness.lock().expect("no code panics while it holds the witness");
--- a/src/router/session.rs
+++ b/src/router/session.rs
@@ -373,7 +373,11 @@
         members.sort_by_key(|e| suspects.contains(&e.incarnation));
         let mut last = Error::new(Kind::PlatformAway, "no witness is named");
         for member in members {
-            let ask = Ask::Keep { holder: self.incarnation.clone(), copies: copies.clone() };
+            let ask = Ask::Keep {
+                keeper: member.incarnation.clone(),
+                holder: self.incarnation.clone(),
+                copies: copies.clone(),
+            };
             match self.mesh.ask(member, ask).await {
                 Ok(_) => return Ok(()),
                 Err(e) if e.kind == Kind::Fenced => {
--- a/tests/test_fleet.rs
+++ b/tests/test_fleet.rs
@@ -8,6 +8,7 @@
 use kingcupwall::error::Kind;
 use kingcupwall::experiment::budget::{BudgetPolicy, Workload, ledger_adds_up, run_one};
 use kingcupwall::ids::{Digest, Incarnation, OrganisationId, RequestKey, Tokens};
+use kingcupwall::membership::wire::{Ask, Mesh};
 use kingcupwall::platform::memory::Faults;
 use kingcupwall::platform::{Mutation, Table, Txn, scan_all};
 use kingcupwall::request::life::Repeatable;
@@ -206,6 +207,22 @@
     assert!(began.elapsed() < Duration::from_secs(1), "{:?}", began.elapsed());
 }
 
+#[tokio::test(start_paused = true)]
+async fn seal_at_reused_address() {
+    // Tokens are given away although their run goes on.
+    // A backup dies with its copies, and a new process starts at its address. The witness asks
+    // for the dead one's seal and copies, and the new one answers that there are none.
+    // The question names the incarnation, and only that process may answer it.
+    let f = fleet(100_000).await;
+    let (asked, asker) = (&f.places[0].node, &f.places[1].node);
+    let to = asked.lock_view().me().clone();
+    let seal = |keeper| Ask::Seal { keeper, holder: name("h@1") };
+    assert!(asker.mesh.ask(&to, seal(to.incarnation.clone())).await.is_ok());
+    assert!(asker.mesh.ask(&to, seal(name("r0@before"))).await.is_err());
+    let keep = Ask::Keep { keeper: name("r0@before"), holder: name("h@2"), copies: Vec::new() };
+    assert!(asker.mesh.ask(&to, keep).await.is_err());
+}
+
 #[tokio::test(start_paused = true)]
 async fn call_platform_away() {
     // A claim that could not be recorded runs, and after a crash runs again.
