--- /dev/null
+++ b/src/allowance/account.rs
@@ -0,0 +1,316 @@
+//! What one router knows of one organisation's budget: pure decisions, no clock, no I/O.
+
+use tokio::time::Instant;
+
+use super::ledger::{Holder, HolderName, Ledger};
+use super::line::{Anchored, Line, Tokens};
+use crate::rows::{StoreMs, Ver};
+
+/// Time over which the rate of spending is averaged, ms. Short, because an organisation can
+/// send several times its usual from one second to the next.
+const RATE_WINDOW_MS: u64 = 1_500;
+/// How much of the averaged rate is kept when it falls, per window, in per cent. Slow, because a
+/// partition that begins in a lull must still be outlasted.
+const RATE_KEEP_PERCENT: u64 = 85;
+/// The slope of a line against the rate of spending, in per cent: room for a rate that grows.
+const SLOPE_PERCENT: u64 = 170;
+/// What a line lets through at once, in ms at the rate of spending, beside what is in use.
+const BURST_MS: u64 = 700;
+/// A request that could not be covered is still counted as demand for so long, ms.
+const DEMAND_MS: u64 = 2_000;
+
+/// Why a request got no part of the budget.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Denied {
+    /// This router has no part left; another, or the store, may have.
+    NoneHere,
+    /// The ledger itself shows that the request does not fit any more.
+    Spent,
+}
+
+/// What a router wants to write into the ledger.
+#[derive(Clone, Debug)]
+pub struct Plan {
+    /// The row as it will stand.
+    pub ledger: Ledger,
+    /// The version that the row must have for this.
+    pub expect: Ver,
+    /// Our own line in it.
+    pub line: Line,
+}
+
+/// Settings of sizing that are derived from the deployment.
+#[derive(Clone, Copy, Debug)]
+pub struct Sizing {
+    /// The cut from the store that a line has to outlast, ms.
+    pub horizon_ms: u64,
+    /// Routers that may draw on the same budgets.
+    pub routers: u64,
+}
+
+/// A line that this process may follow, with the row version it was based on.
+#[derive(Clone, Copy, Debug)]
+struct Pending {
+    based_on: Ver,
+    anchored: Anchored,
+}
+
+/// One organisation's account at one router.
+#[derive(Clone, Debug)]
+pub struct Account {
+    me: HolderName,
+    /// What the operator granted in all; only grows within a process.
+    prepaid: Tokens,
+    /// The row as last seen, and its version.
+    ledger: Ledger,
+    ver: Ver,
+    /// Whether the row was ever read.
+    known: bool,
+    confirmed: Option<Anchored>,
+    /// Lines whose writes were not answered: any of them may be the one in force.
+    pending: Vec<Pending>,
+    settled: Tokens,
+    held: Tokens,
+    /// Largest request of late.
+    largest: Tokens,
+    /// Spending, tokens a second.
+    rate: u64,
+    window_start: Instant,
+    window_spent: u64,
+    /// A request that could not be covered, and when.
+    wanted: Option<(Tokens, Instant)>,
+    /// When the line in force was written.
+    renewed: Instant,
+}
+
+impl Account {
+    /// An account about which nothing is known yet.
+    pub fn new(me: HolderName, now: Instant) -> Account {
+        Account {
+            me,
+            prepaid: Tokens(0),
+            ledger: Ledger::default(),
+            ver: Ver(0),
+            known: false,
+            confirmed: None,
+            pending: Vec::new(),
+            settled: Tokens(0),
+            held: Tokens(0),
+            largest: Tokens(0),
+            rate: 0,
+            window_start: now,
+            window_spent: 0,
+            wanted: None,
+            renewed: now,
+        }
+    }
+
+    /// The operator's configuration grants `prepaid` in all. It is only ever raised.
+    pub fn set_prepaid(&mut self, prepaid: Tokens) {
+        self.prepaid = self.prepaid.max(prepaid);
+    }
+
+    /// Spent or held by requests that run.
+    pub fn charged(&self) -> Tokens {
+        Tokens(self.settled.0 + self.held.0)
+    }
+
+    /// Spent by requests that have ended.
+    pub fn settled(&self) -> Tokens {
+        self.settled
+    }
+
+    /// The version of the ledger row that decisions rest on.
+    pub fn ver(&self) -> Ver {
+        self.ver
+    }
+
+    /// What this router may have spent by now, over all lines that may be in force.
+    pub fn allowed(&self, now: Instant) -> Tokens {
+        let Some(confirmed) = self.confirmed else { return Tokens(0) };
+        let pending = self.pending.iter().map(|p| p.anchored.at(now));
+        pending.fold(confirmed.at(now), Tokens::min)
+    }
+
+    /// The end of the line in force.
+    pub fn ceiling(&self) -> Tokens {
+        let Some(confirmed) = self.confirmed else { return Tokens(0) };
+        let pending = self.pending.iter().map(|p| p.anchored.line.ceiling);
+        pending.fold(confirmed.line.ceiling, Tokens::min)
+    }
+
+    /// Takes `most` for a request that costs that at the most.
+    ///
+    /// # Errors
+    /// `Spent` only if the ledger in the store proves it, by what is settled for good there.
+    pub fn hold(&mut self, most: Tokens, now: Instant) -> Result<(), Denied> {
+        self.roll(now);
+        if self.charged().0 + most.0 <= self.allowed(now).0 {
+            self.held.0 += most.0;
+            self.largest = self.largest.max(most);
+            self.window_spent += most.0;
+            return Ok(());
+        }
+        self.wanted = Some((most, now));
+        Err(if self.is_spent(most) { Denied::Spent } else { Denied::NoneHere })
+    }
+
+    /// Whether the request cannot fit, whoever holds the rest.
+    pub fn is_spent(&self, most: Tokens) -> bool {
+        self.known && self.ledger.settled().0 + most.0 > self.prepaid.0
+    }
+
+    /// A request that held `most` has ended and cost `actual`.
+    pub fn settle(&mut self, most: Tokens, actual: Tokens) {
+        self.held.0 -= most.0;
+        self.settled.0 += actual.0.min(most.0);
+    }
+
+    fn roll(&mut self, now: Instant) {
+        let ms = now.saturating_duration_since(self.window_start).as_millis();
+        let ms = u64::try_from(ms).unwrap_or(u64::MAX);
+        if ms < RATE_WINDOW_MS {
+            return;
+        }
+        let windows = (ms / RATE_WINDOW_MS).min(64);
+        let latest = self.window_spent.saturating_mul(1_000) / ms;
+        let kept = (0..windows).fold(self.rate, |r, _| r * RATE_KEEP_PERCENT / 100);
+        self.rate = latest.max(kept);
+        self.window_spent = 0;
+        self.window_start = now;
+    }
+
+    /// Spending in tokens a second, the running window included.
+    fn demand(&self, now: Instant) -> u64 {
+        let ms = now.saturating_duration_since(self.window_start).as_millis();
+        let ms = u64::try_from(ms).unwrap_or(u64::MAX).max(RATE_WINDOW_MS / 2);
+        self.rate.max(self.window_spent.saturating_mul(1_000) / ms)
+    }
+
+    /// Demand that could not be covered a short while ago.
+    fn wanted(&self, now: Instant) -> u64 {
+        let (most, at) = self.wanted.unwrap_or((Tokens(0), now));
+        let ms = now.saturating_duration_since(at).as_millis();
+        if ms < u128::from(DEMAND_MS) { most.0 } else { 0 }
+    }
+
+    /// Takes in the row as read from the store or returned by a transaction.
+    ///
+    /// A write of ours that was not answered has taken effect if our entry bears its line, and
+    /// can no longer take effect if the row has moved past the version it was based on.
+    pub fn observe(&mut self, ledger: Ledger, ver: Ver) {
+        if self.known && ver < self.ver {
+            return;
+        }
+        if let Some(mine) = ledger.holder(&self.me) {
+            let written = self.pending.iter().find(|p| p.anchored.line == mine.line);
+            if let Some(written) = written {
+                self.confirmed = Some(written.anchored);
+            }
+        }
+        self.pending.retain(|p| p.based_on >= ver);
+        self.ledger = ledger;
+        self.ver = ver;
+        self.known = true;
+    }
+
+    /// Whether the row was ever read.
+    pub fn is_known(&self) -> bool {
+        self.known
+    }
+
+    /// The entry to write next, if one is due; `seen` is the newest store time known and
+    /// `learnt` when it was.
+    ///
+    /// A line is renewed while it is used, so that its opening part stays ahead of the spending
+    /// and what is in doubt after a death stays small, and when its end comes near.
+    pub fn plan(&self, seen: StoreMs, now: Instant, sizing: Sizing) -> Option<Plan> {
+        if !self.known {
+            return None;
+        }
+        let rate = self.demand(now);
+        let wanted = self.wanted(now);
+        let charged = self.charged().0;
+        let need = rate * sizing.horizon_ms / 1_000 + wanted;
+        let mine = self.ledger.holder(&self.me).map_or(0, |h| h.line.ceiling.0);
+        let free = self.ledger.free(self.prepaid).0;
+        let end = self.end(charged, need, wanted, mine, free, sizing);
+        let burst = self.largest.0 + rate * BURST_MS / 1_000 + wanted;
+        let line = Line {
+            floor: Tokens((charged + burst).min(end)),
+            rate: Tokens(rate * SLOPE_PERCENT / 100),
+            ceiling: Tokens(end),
+            seen,
+        };
+        let unresolved = !self.pending.is_empty();
+        if !(unresolved || self.is_due(&line, now)) {
+            return None;
+        }
+        let mut ledger = self.ledger.clone();
+        ledger.close_predecessors(&self.me, seen);
+        ledger.set(Holder { name: self.me.clone(), settled: self.settled, line });
+        Some(Plan { ledger, expect: self.ver, line })
+    }
+
+    /// Where the line should end. While plenty is free, everyone gets what it asks for. Towards
+    /// the end of a budget a router takes at most its share of what is left, so that the last
+    /// tokens are not stranded with one that does not need them; but always what one request
+    /// that is waiting needs, if that much is left.
+    fn end(&self, charged: u64, need: u64, wanted: u64, mine: u64, free: u64, s: Sizing) -> u64 {
+        let reachable = free + mine;
+        let share = (reachable.saturating_sub(charged)) * 2 / (s.routers + 1);
+        let want = charged + need.min(share.max(wanted));
+        want.min(reachable).max(charged)
+    }
+
+    fn is_due(&self, next: &Line, now: Instant) -> bool {
+        let Some(current) = self.confirmed else {
+            return next.ceiling.0 > 0 || !self.predecessors_closed();
+        };
+        let headroom = self.allowed(now).0.saturating_sub(self.charged().0);
+        let wanted = self.wanted(now);
+        let short = wanted > headroom && next.ceiling > current.line.ceiling;
+        let opens = next.floor.0 > current.at(now).0;
+        let grows = next.ceiling.0 > current.line.ceiling.0 + current.line.ceiling.0 / 64;
+        let excess = current.line.ceiling.0.saturating_sub(next.ceiling.0);
+        let gives_back = excess > next.ceiling.0.saturating_sub(self.charged().0);
+        let spent = self.settled > self.ledger.holder(&self.me).map_or(Tokens(0), |h| h.settled);
+        let old = now.saturating_duration_since(self.renewed).as_millis() >= 2_000;
+        short || opens || (old && (grows || gives_back || spent))
+    }
+
+    fn predecessors_closed(&self) -> bool {
+        !self
+            .ledger
+            .holders
+            .iter()
+            .any(|h| h.name.place == self.me.place && h.name.incarnation != self.me.incarnation)
+    }
+
+    /// Notes a write that is about to be sent. From here on both the line in force and this one
+    /// bound the spending, because nobody knows which one a successor will find.
+    pub fn sending(&mut self, plan: &Plan, learnt: Instant) {
+        let anchored = Anchored { line: plan.line, learnt };
+        self.pending.push(Pending { based_on: plan.expect, anchored });
+    }
+
+    /// The write was answered: it is in force.
+    pub fn committed(&mut self, plan: &Plan, ver: Ver, now: Instant) {
+        self.wanted = None;
+        self.renewed = now;
+        self.observe(plan.ledger.clone(), ver);
+    }
+
+    /// The write was turned away and never happens.
+    pub fn rejected(&mut self, plan: &Plan) {
+        self.pending.retain(|p| p.anchored.line != plan.line || p.based_on != plan.expect);
+    }
+
+    /// The row without this process, for a planned stop: nothing of it stays in doubt.
+    pub fn farewell(&self) -> Option<(Ledger, Ver)> {
+        self.ledger.holder(&self.me)?;
+        let mut ledger = self.ledger.clone();
+        ledger.leave(&self.me, self.charged());
+        Some((ledger, self.ver))
+    }
+}
--- /dev/null
+++ b/src/allowance/line.rs
@@ -0,0 +1,88 @@
+//! The most that a router may have spent, as a function of the store's clock.
+
+use std::fmt;
+use std::str::FromStr;
+
+use serde::{Deserialize, Serialize};
+use tokio::time::Instant;
+
+use crate::error::{Error, Kind};
+use crate::rows::StoreMs;
+
+/// How much slower than the local clock a line is followed, in per mille: room for two steady
+/// clocks that do not run alike.
+const CLOCK_DRIFT_PER_MILLE: u64 = 10;
+
+/// An amount of tokens.
+#[derive(
+    Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd, Deserialize, Serialize,
+)]
+#[serde(transparent)]
+pub struct Tokens(pub u64);
+
+impl fmt::Display for Tokens {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}", self.0)
+    }
+}
+
+impl FromStr for Tokens {
+    type Err = Error;
+
+    fn from_str(s: &str) -> Result<Tokens, Error> {
+        let n = s.trim().parse().map_err(|_| Error::new(Kind::BadRequest, "not a token count"))?;
+        Ok(Tokens(n))
+    }
+}
+
+/// A bound on one process's total spending that opens over time.
+///
+/// At store time `t` the process has spent at most `floor + rate × (t − seen)`, and never more
+/// than `ceiling`. The ceiling is what nobody else may use; the slope bounds what is in doubt
+/// once the process is known to have ended at some time.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq, Deserialize, Serialize)]
+pub struct Line {
+    /// May be spent at once.
+    pub floor: Tokens,
+    /// Becomes available with time, tokens a second.
+    pub rate: Tokens,
+    /// The end of it.
+    pub ceiling: Tokens,
+    /// The newest store time that the process knew when it wrote this line. Older than the
+    /// write itself, also if the write takes effect late.
+    pub seen: StoreMs,
+}
+
+impl Line {
+    fn after(&self, ms: u64) -> Tokens {
+        let opened = self.rate.0.saturating_mul(ms) / 1_000;
+        Tokens(self.floor.0.saturating_add(opened).min(self.ceiling.0))
+    }
+
+    /// The most that was spent by a process that ended before store time `now`.
+    pub fn at(&self, now: StoreMs) -> Tokens {
+        self.after(now.0.saturating_sub(self.seen.0))
+    }
+}
+
+/// A line as its own process follows it: with the local time at which `seen` was learnt.
+///
+/// The store's clock was past `seen` at that moment, so at any later one it is past `seen` plus
+/// the local time gone by. A process that is paused sees less time go by, not more. What it
+/// allows itself is therefore never above [`Line::at`] of the store time at which it ends.
+#[derive(Clone, Copy, Debug)]
+pub struct Anchored {
+    /// The line.
+    pub line: Line,
+    /// Local time at which the answer with `line.seen` had arrived.
+    pub learnt: Instant,
+}
+
+impl Anchored {
+    /// The most that may have been spent by local time `now`.
+    pub fn at(&self, now: Instant) -> Tokens {
+        let ms = now.saturating_duration_since(self.learnt).as_millis();
+        let ms = u64::try_from(ms).unwrap_or(u64::MAX / 1_000);
+        self.line.after(ms - ms * CLOCK_DRIFT_PER_MILLE / 1_000)
+    }
+}
--- /dev/null
+++ b/src/gateway/forward.rs
@@ -0,0 +1,624 @@
+//! One request from its head to the answer that will be relayed: admission, placement, sends.
+
+use std::cell::Cell;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::{Bytes, BytesMut};
+use compact_str::CompactString;
+use tokio::time::{Instant, timeout, timeout_at};
+
+use super::catalog::{Catalog, Route, RouteKind};
+use super::outcome::{self, Ended, Final, Made, Next};
+use super::place::{Demand, Placement, place};
+use super::pool::{Link, dial};
+use super::request::{Additions, Facts, Names, encode, host, path};
+use super::sse::{Events, Splitter};
+use super::state::{Gateway, Platform};
+use super::stats::sent;
+use super::sync::confirm_config;
+use super::targets::{Backend, Flight, PlaceRequest, Planned};
+use crate::allowance::{Denied, Hold, Tokens};
+use crate::http1::{Conn, Decoder, HeadError, RequestHead, ResponseHead, header};
+
+/// The longest response head that is accepted, in bytes.
+const MAX_RESPONSE_HEAD: usize = 32 * 1024;
+/// Plain answers up to this size are read whole before any byte is forwarded, so that a broken
+/// one can be asked for again and is never seen by the caller.
+const WHOLE_ANSWER: usize = 256 * 1024;
+/// Answers to earlier requests that are skipped on a connection, at most.
+const MAX_STRAY: usize = 2;
+/// Least time that a target must have left; less is spent on the way.
+const LEAST_TIME: Duration = Duration::from_millis(5);
+/// Time after which a request that may be repeated goes to another target, against its aim: a
+/// target that hangs holds up everything sent to it, and its health answer may still be good.
+const PATIENCE_X: f64 = 2.0;
+/// When to come back after a refusal that names no better time.
+const COME_BACK: Duration = Duration::from_millis(400);
+/// When to come back if this router lacks a part of the budget: a cut from the store lasts
+/// seconds, other routers may have a part.
+const COME_BACK_BUDGET: Duration = Duration::from_millis(800);
+
+/// An answer of the router's own.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Own {
+    /// Status code. 408, 421, 429 and 503 promise that the request did not run and will not.
+    pub status: u16,
+    /// Why, for the caller and the log.
+    pub reason: &'static str,
+    /// When to come back.
+    pub retry_after: Option<Duration>,
+}
+
+impl Own {
+    /// An answer without a time to come back.
+    pub fn new(status: u16, reason: &'static str) -> Own {
+        Own { status, reason, retry_after: None }
+    }
+
+    /// A refusal: not run, with the time to come back.
+    pub fn refusal(reason: &'static str, after: Duration) -> Own {
+        Own { status: 503, reason, retry_after: Some(after) }
+    }
+}
+
+/// A request that is being served.
+pub struct Job<'a, P: Platform> {
+    /// The router.
+    pub gw: &'a Rc<Gateway<P>>,
+    /// Its head.
+    pub head: &'a RequestHead,
+    /// Its body.
+    pub body: Bytes,
+    /// What it says of itself.
+    pub facts: Facts,
+    /// When its first byte was read.
+    pub started: Instant,
+    /// When the caller or the operator wants an answer at the latest.
+    pub until: Instant,
+    /// The configuration that decides about it.
+    pub catalog: Rc<Catalog>,
+    /// Its route.
+    pub route: Route,
+    /// The service it goes to.
+    pub service: CompactString,
+    /// Whose it is.
+    pub org: Option<CompactString>,
+    /// Its part of the budget.
+    pub hold: Option<Hold<P>>,
+    /// Sends so far.
+    pub made: Made,
+    /// Whether some target may have run it.
+    pub may_have_run: Cell<bool>,
+    /// Targets it was sent to.
+    pub tried: Vec<CompactString>,
+}
+
+/// A target's answer, as far as it was read.
+pub struct Reply {
+    /// Its head.
+    pub head: ResponseHead,
+    /// The answer's payload so far; for streams whole events only.
+    pub start: Bytes,
+    /// What is still to come.
+    pub rest: Option<Rest>,
+    /// The target's load; ends with the reply.
+    pub flight: Flight,
+}
+
+/// The part of an answer that is still to come.
+pub struct Rest {
+    /// The connection to the target.
+    pub conn: Conn,
+    /// Framing of the body.
+    pub body: Decoder,
+    /// Set for a stream: its events so far.
+    pub stream: Option<StreamState>,
+}
+
+/// How far a stream has come.
+#[derive(Debug, Default)]
+pub struct StreamState {
+    /// Cuts events out.
+    pub splitter: Splitter,
+    /// The last event's id.
+    pub last_id: Option<CompactString>,
+    /// Whole events so far.
+    pub events: u64,
+}
+
+impl StreamState {
+    /// Adds a piece of the stream; returns the whole events in it.
+    ///
+    /// # Errors
+    /// `Truncated` if it holds no events.
+    pub fn push(&mut self, piece: &[u8]) -> Result<Option<Bytes>, Ended> {
+        let Some(events) = self.splitter.push(piece).map_err(|()| Ended::Truncated)? else {
+            return Ok(None);
+        };
+        let Events { bytes, count, last_id } = events;
+        self.events += count;
+        if last_id.is_some() {
+            self.last_id = last_id;
+        }
+        Ok(Some(bytes))
+    }
+}
+
+/// Finds route, organisation and service of a request.
+///
+/// # Errors
+/// The answer that refuses it. 401 and 404 are given only after the configuration was read
+/// anew: a key or route that is unknown here may have been added a moment ago.
+async fn resolve<P: Platform>(
+    gw: &Gateway<P>,
+    head: &RequestHead,
+    facts: &Facts,
+) -> Result<(Rc<Catalog>, Route, Option<CompactString>), Own> {
+    let look = || -> Result<_, Own> {
+        let catalog = gw.config().ok_or(Own::refusal("no_configuration", COME_BACK))?;
+        let route = catalog.route(host(head), path(head)).ok_or(Own::new(404, "no_route"))?;
+        let route = route.clone();
+        let org = owner(&catalog, &route, facts)?;
+        Ok((catalog, route, org))
+    };
+    match look() {
+        Err(own) if own.status != 503 => {
+            if !confirm_config(gw).await {
+                return Err(Own::refusal("configuration_not_confirmed", COME_BACK));
+            }
+            look()
+        }
+        found => found,
+    }
+}
+
+fn owner(catalog: &Catalog, route: &Route, facts: &Facts) -> Result<Option<CompactString>, Own> {
+    if !catalog.needs_keys() || route.public {
+        return Ok(None);
+    }
+    let key = facts.key.as_deref().ok_or(Own::new(401, "no_key"))?;
+    let org = catalog.organisation(key).ok_or(Own::new(401, "unknown_key"))?;
+    Ok(Some(org.name.clone()))
+}
+
+impl<'a, P: Platform> Job<'a, P> {
+    /// Admits a request whose body was read.
+    ///
+    /// # Errors
+    /// The answer that refuses it.
+    pub async fn admit(
+        gw: &'a Rc<Gateway<P>>,
+        head: &'a RequestHead,
+        body: Bytes,
+        facts: Facts,
+        started: Instant,
+    ) -> Result<Job<'a, P>, Own> {
+        let (catalog, route, org) = resolve(gw, head, &facts).await?;
+        let wait = facts.time_left.map_or(route.timeout, |t| t.min(route.timeout));
+        let until = started + wait;
+        let draw = fastrand::f64();
+        let service = route.service(draw).cloned().ok_or(Own::refusal("no_service", COME_BACK))?;
+        gw.retries.borrow_mut().earn(&service);
+        let mut job = Job {
+            gw,
+            head,
+            body,
+            facts,
+            started,
+            until,
+            catalog,
+            route,
+            service,
+            org,
+            hold: None,
+            made: Made { runs: 0, sends: 0 },
+            may_have_run: Cell::new(false),
+            tried: Vec::new(),
+        };
+        job.take_budget().await?;
+        Ok(job)
+    }
+
+    /// Takes the most that the request can cost out of its organisation's budget.
+    async fn take_budget(&mut self) -> Result<(), Own> {
+        let most = Tokens(self.facts.most());
+        let Some(org) = self.org.as_deref().filter(|_| most.0 > 0) else { return Ok(()) };
+        let prepaid = self.catalog.organisation(self.facts.key.as_deref().unwrap_or_default());
+        if prepaid.and_then(|o| o.prepaid).is_none() {
+            return Ok(());
+        }
+        match self.gw.keeper.hold(org, most).await {
+            Ok(hold) => {
+                self.hold = Some(hold);
+                Ok(())
+            }
+            // The amount may have been raised a moment ago.
+            Err(Denied::Spent) if confirm_config(self.gw).await => {
+                match self.gw.keeper.hold(org, most).await {
+                    Ok(hold) => {
+                        self.hold = Some(hold);
+                        Ok(())
+                    }
+                    Err(Denied::Spent) => Err(self.no_budget(org, Own::new(402, "budget_spent"))),
+                    Err(Denied::NoneHere) => {
+                        Err(self.no_budget(org, Own::refusal("budget_not_here", COME_BACK_BUDGET)))
+                    }
+                }
+            }
+            Err(_) => Err(self.no_budget(org, Own::refusal("budget_not_here", COME_BACK_BUDGET))),
+        }
+    }
+
+    fn no_budget(&self, org: &str, own: Own) -> Own {
+        let state = self.gw.keeper.describe(org);
+        let (id, most) = (&self.facts.id, self.facts.most());
+        self.gw.log.note(
+            "budget",
+            format_args!(
+                "id={id} org={org} most={most} {state} config={} outcome={}",
+                self.catalog.version, own.reason
+            ),
+        );
+        own
+    }
+
+    fn names(&self) -> &Names {
+        self.gw.platform.names()
+    }
+
+    fn is_engine(&self) -> bool {
+        self.catalog.service(&self.service).is_some_and(|s| s.engine.is_some())
+    }
+
+    /// Tokens of `events` events, at the most.
+    fn tokens_of(&self, events: u64) -> u64 {
+        let engine = self.catalog.service(&self.service).and_then(|s| s.engine);
+        match engine.map_or(0, |e| e.tokens_per_event) {
+            0 if events > 0 => self.facts.most_output,
+            n => (events * n).min(self.facts.most_output),
+        }
+    }
+
+    /// Notes what the request has cost once `events` events were handed to the caller.
+    pub fn charge(&mut self, events: u64) {
+        let cost = self.facts.prompt + self.tokens_of(events);
+        if let Some(hold) = &mut self.hold {
+            hold.cost(Tokens(cost));
+        }
+    }
+
+    /// Gets an answer, from as many targets as the rules allow. `resume_after` names the last
+    /// event that the caller has, when a broken stream goes on.
+    ///
+    /// # Errors
+    /// The router's own answer.
+    pub async fn obtain(&mut self, resume_after: Option<CompactString>) -> Result<Reply, Own> {
+        let until = self.until;
+        match timeout_at(until, self.obtain_untimed(resume_after)).await {
+            Ok(reply) => reply,
+            Err(_) if self.may_have_run.get() => Err(Own::new(504, "timeout")),
+            Err(_) => Err(Own::refusal("timeout_before_send", COME_BACK)),
+        }
+    }
+
+    async fn obtain_untimed(&mut self, resume_after: Option<CompactString>) -> Result<Reply, Own> {
+        let mut own_failure: Option<Reply> = None;
+        loop {
+            let (backend, plan) = match self.choose() {
+                Ok(chosen) => chosen,
+                Err(own) => return own_failure.ok_or(self.after_runs(own)),
+            };
+            if self.until - Instant::now() < LEAST_TIME {
+                return own_failure.ok_or(self.after_runs(Own::refusal("no_time_left", COME_BACK)));
+            }
+            let ran_before = self.made.runs;
+            let ended = match self.send(&backend, &plan, resume_after.as_deref()).await {
+                Ok(reply) if reply.head.status < 500 => return Ok(reply),
+                Ok(reply) => {
+                    own_failure = Some(reply);
+                    Ended::Failed
+                }
+                Err(ended) => ended,
+            };
+            self.note_ended(&backend, ended, ran_before);
+            let final_answer =
+                match outcome::next(self.route.kind, ended, self.made, self.route.max_attempts) {
+                    Next::SendAgain => continue,
+                    Next::Retry(or_else) => {
+                        if self.gw.retries.borrow_mut().take(&self.service) {
+                            continue;
+                        }
+                        or_else
+                    }
+                    Next::Answer(answer) => answer,
+                };
+            return match (final_answer, own_failure) {
+                (Final::TargetsOwn, Some(reply)) => Ok(reply),
+                (Final::NotRun, _) => Err(Own::refusal("target_refused", COME_BACK)),
+                (_, Some(reply)) => Ok(reply),
+                _ => Err(Own::new(502, "target_failed")),
+            };
+        }
+    }
+
+    /// A refusal must not promise "not run" once a target may have run the request.
+    fn after_runs(&self, own: Own) -> Own {
+        if self.may_have_run.get() && own.status == 503 { Own::new(502, own.reason) } else { own }
+    }
+
+    fn choose(&self) -> Result<(Rc<Backend>, Planned), Own> {
+        let engine = self.is_engine();
+        let req = PlaceRequest {
+            service: &self.service,
+            zone: &self.gw.settings.zone,
+            parts: &self.facts.parts,
+            prompt: self.facts.prompt,
+            engine,
+            tried: &self.tried,
+        };
+        let found = self.gw.targets.candidates(&req);
+        let facts: Vec<_> = found.iter().map(|(_, c)| *c).collect();
+        let now = Instant::now();
+        let demand = Demand {
+            aim: self.route.aim.saturating_sub(now - self.started),
+            left: self.until.saturating_duration_since(now),
+            engine,
+        };
+        match place(&facts, &demand, &self.gw.settings.weights) {
+            Placement::Send { index, predicted_ms } => {
+                let capacity = self.catalog.service(&self.service).and_then(|s| s.engine);
+                let plan = Planned {
+                    engine,
+                    prefill_ms: facts[index].prefill_ms,
+                    predicted_ms,
+                    cache_tokens: capacity.map_or(0, |e| e.kv_capacity / 2),
+                };
+                Ok((found[index].0.clone(), plan))
+            }
+            Placement::NoTarget => Err(Own::refusal("no_target", COME_BACK)),
+            Placement::Busy { room_in_ms } => {
+                Err(Own::refusal("busy", Duration::from_secs_f64(room_in_ms / 1_000.0)))
+            }
+        }
+    }
+
+    fn note_ended(&mut self, backend: &Backend, ended: Ended, runs_before: u32) {
+        match ended {
+            Ended::NotSent => backend.unreachable(),
+            Ended::NotRun => backend.full(),
+            Ended::OtherTarget => backend.unreachable(),
+            Ended::NoAnswer | Ended::Truncated => backend.failed(),
+            Ended::Failed => (),
+        }
+        sent(&self.gw.stats, ended);
+        let (id, target) = (&self.facts.id, backend.id());
+        let ms = self.started.elapsed().as_millis();
+        self.gw.log.note(
+            "send",
+            format_args!(
+                "id={id} target={target} ended={ended:?} runs={runs_before} sends={} at_ms={ms}",
+                self.made.sends
+            ),
+        );
+    }
+
+    /// Sends the request to one target and reads the answer, as much of it as is held back.
+    async fn send(
+        &mut self,
+        backend: &Rc<Backend>,
+        plan: &Planned,
+        resume_after: Option<&str>,
+    ) -> Result<Reply, Ended> {
+        self.tried.push(backend.id());
+        let flight = Flight::begin(backend, plan, &self.facts.parts, Instant::now());
+        let kept = backend.pool.borrow_mut().take();
+        let mut link = match kept {
+            Some(link) => link,
+            None => dial(backend.addr()).await.map_err(|_| Ended::NotSent)?,
+        };
+        let target = backend.id();
+        let add = Additions {
+            target: &target,
+            organisation: self.org.as_deref(),
+            time_left: self.until.saturating_duration_since(Instant::now()),
+            urgency: None,
+            resume_after,
+        };
+        let bytes = encode(self.names(), self.head, &self.body, &add);
+        self.made.sends += 1;
+        self.made.runs += 1;
+        let ran_before = self.may_have_run.replace(true);
+        if self.made.runs == 1 {
+            self.charge(0);
+        }
+        let outcome = self.answer(&mut link, &bytes, plan).await;
+        match outcome {
+            Ok(head) => self.read_start(link.conn, head, flight).await,
+            Err(ended) => {
+                if !ended.may_have_run() {
+                    self.made.runs -= 1;
+                    self.may_have_run.set(ran_before);
+                    if let Some(hold) = self.hold.as_mut().filter(|_| self.made.runs == 0) {
+                        hold.cost(Tokens(0));
+                    }
+                    if link.conn.is_quiet() {
+                        let keep = ResponseHead {
+                            status: 503,
+                            reason: CompactString::default(),
+                            headers: Vec::new(),
+                            body: Decoder::length(0),
+                            keep: true,
+                        };
+                        backend.pool.borrow_mut().put(link.conn, &keep);
+                    }
+                }
+                Err(ended)
+            }
+        }
+    }
+
+    /// Writes the request and reads the head of the answer to it.
+    async fn answer(
+        &self,
+        link: &mut Link,
+        bytes: &[u8],
+        plan: &Planned,
+    ) -> Result<ResponseHead, Ended> {
+        let exchange = async {
+            link.conn.write_until_answered(bytes).await.map_err(|_| Ended::NoAnswer)?;
+            self.read_own_head(link).await
+        };
+        match self.patience(plan) {
+            Some(patience) => timeout(patience, exchange).await.map_err(|_| Ended::NoAnswer)?,
+            None => exchange.await,
+        }
+    }
+
+    /// How long to wait for an answer before another target is asked; none if there may be no
+    /// other.
+    fn patience(&self, plan: &Planned) -> Option<Duration> {
+        let may = self.route.kind.repeats() && self.made.runs < self.route.max_attempts;
+        let predicted = Duration::from_secs_f64(plan.predicted_ms / 1_000.0);
+        may.then(|| self.route.aim.mul_f64(PATIENCE_X) + predicted)
+    }
+
+    /// Reads response heads up to the one that echoes this request's id. Others belong to
+    /// requests before it on the same connection, and are skipped with their bodies: taken for
+    /// ours, they would hand one caller's answer to another.
+    async fn read_own_head(&self, link: &mut Link) -> Result<ResponseHead, Ended> {
+        let names = self.names();
+        for _ in 0..=MAX_STRAY {
+            let head = link.conn.read_response(MAX_RESPONSE_HEAD).await.map_err(|e| {
+                let id = &self.facts.id;
+                let used = link.used;
+                let cause = match e {
+                    HeadError::Closed => "closed",
+                    HeadError::Broken(_) => "broken",
+                    HeadError::Bad(_) => "not_http",
+                    HeadError::TooLong => "head_too_long",
+                };
+                self.gw.log.note(
+                    "answer",
+                    format_args!("id={id} outcome=unreadable cause={cause} kept={used}"),
+                );
+                Ended::NoAnswer
+            })?;
+            let echoed = header(&head.headers, &names.request_id);
+            let is_ours = echoed == Some(self.facts.id.as_str());
+            let fresh = !link.used && echoed.is_none();
+            if is_ours || fresh {
+                if let Some(ended) = not_run(names, &head) {
+                    let mut body = head.body;
+                    // The connection is used again only if this body is whole.
+                    if head.keep && !body.ends_with_connection() {
+                        while let Ok(Some(_)) = link.conn.read_piece(&mut body).await {}
+                    }
+                    return Err(ended);
+                }
+                return if is_ours { Ok(head) } else { Err(Ended::NoAnswer) };
+            }
+            let id = &self.facts.id;
+            self.gw.log.note(
+                "answer",
+                format_args!("id={id} outcome=stray_answer_skipped stray_id={echoed:?}"),
+            );
+            let mut body = head.body;
+            if body.ends_with_connection() {
+                return Err(Ended::NoAnswer);
+            }
+            while link.conn.read_piece(&mut body).await.map_err(|_| Ended::NoAnswer)?.is_some() {}
+        }
+        Err(Ended::NoAnswer)
+    }
+
+    async fn read_start(
+        &mut self,
+        conn: Conn,
+        mut head: ResponseHead,
+        mut flight: Flight,
+    ) -> Result<Reply, Ended> {
+        if self.head.method == "HEAD" {
+            head.body = Decoder::length(0);
+        }
+        let is_stream = self.route.kind.is_stream() && (200..300).contains(&head.status);
+        let body = head.body;
+        let mut rest = Rest { conn, body, stream: is_stream.then(StreamState::default) };
+        let start = if is_stream {
+            self.first_events(&mut rest, &mut flight).await?
+        } else {
+            whole_or_start(&mut rest).await?
+        };
+        flight.backend().answered();
+        let rest = if rest.body.is_done() && !is_stream {
+            flight.backend().pool.borrow_mut().put(rest.conn, &head);
+            None
+        } else {
+            Some(rest)
+        };
+        Ok(Reply { head, start, rest, flight })
+    }
+
+    /// Waits for a stream's first whole event: until then the caller has nothing, and another
+    /// target can take over if this one breaks off.
+    async fn first_events(&self, rest: &mut Rest, flight: &mut Flight) -> Result<Bytes, Ended> {
+        let stream = rest.stream.as_mut().expect("a stream has its state");
+        loop {
+            let piece = rest.conn.read_piece(&mut rest.body).await.map_err(|_| Ended::Truncated)?;
+            let Some(piece) = piece else { return Ok(Bytes::new()) };
+            if let Some(events) = stream.push(&piece)? {
+                let took = flight.first_event();
+                self.gw.stats.first_event.observe((Instant::now() - self.started).as_secs_f64());
+                let (id, backend) = (&self.facts.id, flight.backend());
+                self.gw.log.routine(
+                    "placed",
+                    format_args!(
+                        "id={id} route={} target={} predicted_ms={:.0} first_ms={} prompt={} most_output={} estimate={:?}",
+                        self.route.name,
+                        backend.id(),
+                        flight.predicted_ms(),
+                        took.as_millis(),
+                        self.facts.prompt,
+                        self.facts.most_output,
+                        self.facts.estimate,
+                    ),
+                );
+                return Ok(events);
+            }
+        }
+    }
+}
+
+/// Reads a plain answer, whole if it is not too large.
+async fn whole_or_start(rest: &mut Rest) -> Result<Bytes, Ended> {
+    let mut start = BytesMut::new();
+    while start.len() < WHOLE_ANSWER {
+        match rest.conn.read_piece(&mut rest.body).await.map_err(|_| Ended::Truncated)? {
+            Some(piece) => start.extend_from_slice(&piece),
+            None => {
+                // A body that ended with its connection is whole now.
+                rest.body = Decoder::length(0);
+                break;
+            }
+        }
+    }
+    Ok(start.freeze())
+}
+
+/// Whether a response proves that its target did not run the request.
+fn not_run(names: &Names, head: &ResponseHead) -> Option<Ended> {
+    if head.status == 421 {
+        return Some(Ended::OtherTarget);
+    }
+    header(&head.headers, &names.not_run).map(|_| Ended::NotRun)
+}
+
+/// Whether a route's requests go to the same place as one whose kind is `kind`.
+pub fn label(kind: RouteKind) -> &'static str {
+    match kind {
+        RouteKind::Idempotent => "idempotent",
+        RouteKind::NonIdempotent => "non_idempotent",
+        RouteKind::Stream => "stream",
+        RouteKind::ResumableStream => "resumable_stream",
+    }
+}
--- /dev/null
+++ b/src/gateway/front.rs
@@ -0,0 +1,274 @@
+//! Callers' connections.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+use tokio::time::{Instant, timeout};
+
+use super::forward::{Job, Own, label};
+use super::relay::{Relayed, relay, write_own};
+use super::request::Facts;
+use super::state::{Gateway, Phase, Platform};
+use super::stats::ended;
+use crate::http1::{Conn, HeadError, RequestHead};
+
+/// How long bytes sent to a caller may stay unacknowledged.
+const SILENCE: Duration = Duration::from_secs(4);
+/// Time for a request body to arrive when the caller states none.
+const BODY_TIME: Duration = Duration::from_secs(10);
+
+/// Takes connections until the planned stop no longer allows it.
+pub async fn accept<P: Platform>(gw: Rc<Gateway<P>>, listener: TcpListener) {
+    let mut phase = gw.phase.subscribe();
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            _ = phase.wait_for(|p| *p == Phase::Finishing) => return,
+        };
+        match accepted {
+            Ok((io, _)) if gw.connections.get() < gw.settings.max_connections => {
+                tokio::task::spawn_local(serve(gw.clone(), io));
+            }
+            // Closing at once lets the caller go elsewhere; waiting would hold it up.
+            Ok(_) => gw
+                .log
+                .note("accept", format_args!("outcome=too_many open={}", gw.connections.get())),
+            Err(e) => {
+                gw.log.note("accept", format_args!("outcome=failed error={e}"));
+                tokio::time::sleep(Duration::from_millis(20)).await;
+            }
+        }
+    }
+}
+
+/// Counts a connection or a request while it lives.
+struct Counted<'a, P: Platform>(&'a Gateway<P>, Kind);
+
+enum Kind {
+    Connection,
+    Request(u64),
+}
+
+impl<'a, P: Platform> Counted<'a, P> {
+    fn connection(gw: &'a Gateway<P>) -> Counted<'a, P> {
+        gw.connections.set(gw.connections.get() + 1);
+        Counted(gw, Kind::Connection)
+    }
+
+    fn request(gw: &'a Gateway<P>, bytes: u64) -> Counted<'a, P> {
+        gw.active.set(gw.active.get() + 1);
+        gw.body_bytes.set(gw.body_bytes.get() + bytes);
+        Counted(gw, Kind::Request(bytes))
+    }
+}
+
+impl<P: Platform> Drop for Counted<'_, P> {
+    fn drop(&mut self) {
+        let gw = self.0;
+        match self.1 {
+            Kind::Connection => gw.connections.set(gw.connections.get() - 1),
+            Kind::Request(bytes) => {
+                gw.active.set(gw.active.get() - 1);
+                gw.body_bytes.set(gw.body_bytes.get() - bytes);
+                if gw.active.get() == 0 {
+                    gw.idle.notify_waiters();
+                }
+            }
+        }
+    }
+}
+
+async fn serve<P: Platform>(gw: Rc<Gateway<P>>, io: TcpStream) {
+    let _counted = Counted::connection(&gw);
+    let Ok(mut conn) = Conn::new(io, SILENCE) else { return };
+    let mut phase = gw.phase.subscribe();
+    while let Some(head) = next_request(&gw, &mut conn, &mut phase).await {
+        let started = Instant::now();
+        if !exchange(&gw, &mut conn, &head, started).await {
+            return;
+        }
+    }
+}
+
+/// The next request on a connection; `None` once it is to be closed.
+async fn next_request<P: Platform>(
+    gw: &Gateway<P>,
+    conn: &mut Conn,
+    phase: &mut watch::Receiver<Phase>,
+) -> Option<RequestHead> {
+    let limits = gw.limits();
+    let more = tokio::select! {
+        biased;
+        more = timeout(limits.idle_time, conn.has_more()) => more,
+        _ = phase.wait_for(|p| *p == Phase::Finishing) => return None,
+    };
+    if !matches!(more, Ok(Ok(true))) {
+        return None;
+    }
+    let own = match timeout(limits.head_time, conn.read_request(limits.head_bytes)).await {
+        Ok(Ok(head)) => return Some(head),
+        Ok(Err(HeadError::Closed | HeadError::Broken(_))) => return None,
+        Ok(Err(HeadError::Bad(_))) => Own::new(400, "malformed_request"),
+        Ok(Err(HeadError::TooLong)) => Own::new(431, "head_too_long"),
+        Err(_) => Own::new(408, "head_too_slow"),
+    };
+    gw.log.note("refused", format_args!("status={} reason={}", own.status, own.reason));
+    // The connection is closed either way.
+    let _ = write_own(conn, &own, false).await;
+    None
+}
+
+/// Reads a request's body.
+async fn read_body<P: Platform>(
+    gw: &Gateway<P>,
+    conn: &mut Conn,
+    head: &RequestHead,
+    facts: &Facts,
+) -> Result<Bytes, Option<Own>> {
+    if head.body.is_done() {
+        return Ok(Bytes::new());
+    }
+    let max = gw.limits().body_bytes;
+    if head.body.known_length().is_some_and(|n| n > max) {
+        return Err(Some(Own::new(413, "body_too_long")));
+    }
+    let expected = head.body.known_length().unwrap_or(0);
+    if gw.body_bytes.get() + expected > gw.settings.body_memory {
+        let soon = Duration::from_millis(300);
+        return Err(Some(Own::refusal("no_memory_for_body", soon)));
+    }
+    if head.expects_continue && conn.is_drained() {
+        conn.write(b"HTTP/1.1 100 Continue\r\n\r\n").await.map_err(|_| None)?;
+    }
+    let time = facts.time_left.unwrap_or(BODY_TIME);
+    match timeout(time, conn.read_body(head.body, max)).await {
+        Ok(Ok(Some(body))) => Ok(body),
+        Ok(Ok(None)) => Err(Some(Own::new(413, "body_too_long"))),
+        Ok(Err(e)) if e.kind() == std::io::ErrorKind::InvalidData => {
+            Err(Some(Own::new(400, "malformed_body")))
+        }
+        Ok(Err(_)) => Err(None),
+        Err(_) => Err(Some(Own::new(408, "body_too_slow"))),
+    }
+}
+
+/// Serves one request. Returns whether the connection can take another.
+async fn exchange<P: Platform>(
+    gw: &Rc<Gateway<P>>,
+    conn: &mut Conn,
+    head: &RequestHead,
+    started: Instant,
+) -> bool {
+    let facts = Facts::read(gw.platform.names(), &head.headers);
+    let body = match read_body(gw, conn, head, &facts).await {
+        Ok(body) => body,
+        Err(own) => {
+            if let Some(own) = own {
+                gw.log.note(
+                    "refused",
+                    format_args!("id={} status={} reason={}", facts.id, own.status, own.reason),
+                );
+                // The rest of the body is still on its way: the connection is closed.
+                let _ = write_own(conn, &own, false).await;
+            }
+            return false;
+        }
+    };
+    let _counted = Counted::request(gw, body.len() as u64);
+    let id = facts.id.clone();
+    let admitted = tokio::select! {
+        biased;
+        admitted = Job::admit(gw, head, body, facts, started) => admitted,
+        () = conn.closed() => {
+            gw.stats.left.inc();
+            return false;
+        }
+    };
+    let mut job = match admitted {
+        Ok(job) => job,
+        Err(own) => {
+            ended(&gw.stats, "unplaced", own.reason);
+            return refuse(gw, conn, head, &id, "-", &own, started).await;
+        }
+    };
+    let kind = label(job.route.kind);
+    let obtained = tokio::select! {
+        biased;
+        obtained = job.obtain(None) => obtained,
+        () = conn.closed() => {
+            gw.stats.left.inc();
+            ended(&gw.stats, kind, "caller_left");
+            gw.log.routine("left", format_args!("id={id} at_ms={} sent={}", started.elapsed().as_millis(), job.may_have_run.get()));
+            return false;
+        }
+    };
+    match obtained {
+        Ok(reply) => {
+            let (status, target) = (reply.head.status, reply.flight.backend().id());
+            let (relayed, keep) = relay(&mut job, conn, reply).await;
+            conclude(&job, relayed, status, &target);
+            keep
+        }
+        Err(own) => {
+            ended(&gw.stats, kind, own.reason);
+            let route = job.route.name.clone();
+            refuse(gw, conn, head, &id, &route, &own, started).await
+        }
+    }
+}
+
+async fn refuse<P: Platform>(
+    gw: &Gateway<P>,
+    conn: &mut Conn,
+    head: &RequestHead,
+    id: &str,
+    route: &str,
+    own: &Own,
+    started: Instant,
+) -> bool {
+    let keep = head.keep && *gw.phase.borrow() == Phase::Up;
+    let ms = started.elapsed().as_millis();
+    let after = own.retry_after.map(|d| d.as_millis());
+    gw.log.note(
+        "refused",
+        format_args!(
+            "id={id} route={route} status={} reason={} retry_after_ms={after:?} at_ms={ms}",
+            own.status, own.reason
+        ),
+    );
+    write_own(conn, own, keep).await.is_ok() && keep
+}
+
+fn conclude<P: Platform>(job: &Job<'_, P>, relayed: Relayed, status: u16, target: &str) {
+    let gw = job.gw;
+    let outcome = match relayed {
+        Relayed::Whole if status < 400 => "answered",
+        Relayed::Whole => "target_failure",
+        Relayed::CallerLeft => "caller_left",
+        Relayed::Broken => "broken",
+        Relayed::TimedOut => "timed_out",
+    };
+    ended(&gw.stats, label(job.route.kind), outcome);
+    let took = job.started.elapsed();
+    gw.stats.answer.observe(took.as_secs_f64());
+    let cost = job.hold.as_ref().map_or(0, |h| h.spent().0);
+    gw.stats.tokens.inc_by(cost);
+    let fields = format_args!(
+        "id={} route={} org={} target={target} status={status} outcome={outcome} config={} runs={} sends={} tokens={cost} ms={}",
+        job.facts.id,
+        job.route.name,
+        job.org.as_deref().unwrap_or("-"),
+        job.catalog.version,
+        job.made.runs,
+        job.made.sends,
+        took.as_millis(),
+    );
+    if relayed == Relayed::Whole {
+        gw.log.routine("done", fields);
+    } else {
+        gw.log.note("cut", fields);
+    }
+}
--- /dev/null
+++ b/src/gateway/members.rs
@@ -0,0 +1,134 @@
+//! Which routers there are: one row each in the store, renewed while they live.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use compact_str::CompactString;
+use serde::{Deserialize, Serialize};
+
+use super::entry::RouterEntry;
+use super::state::{Gateway, Phase, Platform};
+use crate::rows::{Page, Row, RowKey, StoreMs, Tx};
+
+/// The table of routers.
+const TABLE: &str = "routers";
+/// Pause between two renewals. With 470 routers this is 235 writes and as many reads a second.
+const BEAT: Duration = Duration::from_secs(2);
+/// Age of an entry after which its router counts as gone, ms: three renewals missed.
+const STALE_MS: u64 = 6_500;
+/// Age after which an entry no longer counts as one that may still repeat requests, ms.
+const FORGOTTEN_MS: u64 = 60_000;
+
+/// A router's row.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+struct Entry {
+    front: SocketAddr,
+    zone: CompactString,
+    leaving: bool,
+    /// Newest store time that the router knew when it wrote the row.
+    beat: StoreMs,
+}
+
+impl Entry {
+    fn decode(row: &Row) -> Option<Entry> {
+        ciborium::from_reader(row.value.as_deref()?).ok()
+    }
+
+    fn encode(&self) -> Bytes {
+        let mut out = Vec::new();
+        ciborium::into_writer(self, &mut out).expect("writing to memory cannot fail");
+        out.into()
+    }
+}
+
+/// Renews this router's row and reads all others, for ever.
+pub async fn run<P: Platform>(gw: Rc<Gateway<P>>) {
+    let mut phase = gw.phase.subscribe();
+    let mut seen = StoreMs(0);
+    publish(&gw, &[]);
+    loop {
+        if let Some(now) = renew(&gw, seen).await {
+            seen = now;
+        }
+        match gw.platform.scan(TABLE).await {
+            Ok(page) => {
+                seen = page.now;
+                take(&gw, &page);
+            }
+            Err(e) => gw.log.routine("members", format_args!("outcome=unread cause={e}")),
+        }
+        // A stop is written at once: callers ask others, which must leave this one out.
+        let _ = tokio::time::timeout(BEAT, phase.changed()).await;
+    }
+}
+
+async fn renew<P: Platform>(gw: &Gateway<P>, seen: StoreMs) -> Option<StoreMs> {
+    let s = &gw.settings;
+    let leaving = *gw.phase.borrow() != Phase::Up;
+    let entry = Entry { front: s.front, zone: s.zone.clone(), leaving, beat: seen };
+    let at = RowKey::new(TABLE, &s.instance);
+    let tx = Tx { write: vec![(at, entry.encode())], ..Tx::default() };
+    match gw.platform.commit(&tx).await {
+        Ok(done) => {
+            gw.keeper.saw(done.now);
+            Some(done.now)
+        }
+        Err(e) => {
+            gw.log.routine("members", format_args!("outcome=unwritten cause={e}"));
+            None
+        }
+    }
+}
+
+fn take<P: Platform>(gw: &Gateway<P>, page: &Page) {
+    let others = page.rows.iter().filter(|r| r.at.key != gw.settings.instance);
+    let entries: Vec<(Entry, u64)> = others
+        .filter_map(Entry::decode)
+        .map(|e| (page.now.0.saturating_sub(e.beat.0), e))
+        .map(|(age, e)| (e, age))
+        .collect();
+    let live: Vec<RouterEntry> = entries
+        .iter()
+        .filter(|(_, age)| *age < STALE_MS)
+        .map(|(e, _)| RouterEntry { front: e.front, zone: e.zone.clone(), leaving: e.leaving })
+        .collect();
+    let counted = 1 + entries.iter().filter(|(_, age)| *age < FORGOTTEN_MS).count();
+    gw.retries.borrow_mut().set_routers(u32::try_from(counted).unwrap_or(u32::MAX));
+    gw.keeper.set_routers(live.len() as u64 + 1);
+    publish(gw, &live);
+}
+
+fn publish<P: Platform>(gw: &Gateway<P>, others: &[RouterEntry]) {
+    let s = &gw.settings;
+    let leaving = *gw.phase.borrow() != Phase::Up;
+    let me = RouterEntry { front: s.front, zone: s.zone.clone(), leaving };
+    let mut routers = others.to_vec();
+    routers.push(me);
+    routers.sort_by_key(|r| r.front);
+    let ready = gw.is_ready();
+    gw.entry.send_if_modified(|view| {
+        let changed = view.routers != routers || view.ready != ready;
+        if changed {
+            let n = routers.iter().filter(|r| !r.leaving).count();
+            gw.log.note(
+                "members",
+                format_args!("routers={} staying={n} ready={ready}", routers.len()),
+            );
+            view.routers = routers;
+            view.ready = ready;
+        }
+        changed
+    });
+}
+
+/// Drops this router from its own entry answers at once.
+pub fn leave<P: Platform>(gw: &Gateway<P>) {
+    gw.entry.send_modify(|view| {
+        view.ready = false;
+        for r in view.routers.iter_mut().filter(|r| r.front == gw.settings.front) {
+            r.leaving = true;
+        }
+    });
+}
--- /dev/null
+++ b/src/gateway/mod.rs
@@ -0,0 +1,31 @@
+//! Forwarding of callers' requests to targets: what a request may do, where it goes, what may
+//! be said when something failed, and the connections on both sides.
+//!
+//! Decisions are pure and stand in files of their own: [`catalog`] (route and organisation),
+//! [`place`] (which target, and whether at all), [`outcome`] (what may follow a failure),
+//! [`retries`] (whether the fleet can afford it), [`entry`] (which routers callers should use).
+//! [`forward`] and [`front`] carry them out.
+
+pub mod catalog;
+pub mod drain;
+pub mod entry;
+pub mod forward;
+pub mod front;
+pub mod members;
+pub mod outcome;
+pub mod place;
+pub mod pool;
+pub mod relay;
+pub mod request;
+pub mod retries;
+pub mod sse;
+pub mod state;
+mod stats;
+pub mod sync;
+pub mod targets;
+
+pub use catalog::{Catalog, CatalogParts, Limits, Organisation, Route, RouteKind, Service};
+pub use entry::EntryView;
+pub use request::Names;
+pub use state::{Gateway, Platform, Settings};
+pub use targets::{TargetInfo, TargetState};
--- /dev/null
+++ b/src/gateway/place.rs
@@ -0,0 +1,132 @@
+//! Which target a request goes to, and whether it is admitted at all. Pure: no clock, no I/O.
+
+use std::time::Duration;
+
+/// What a choice rests on for one target.
+#[derive(Clone, Copy, Debug)]
+pub struct Candidate {
+    /// In this router's availability zone.
+    pub near: bool,
+    /// Predicted time until the target begins with this request, ms.
+    pub wait_ms: f64,
+    /// Predicted time for the part of its prompt that the target has not cached, ms.
+    pub prefill_ms: f64,
+    /// Requests of this router that run there.
+    pub running: u32,
+    /// Requests that run there at once, by all routers.
+    pub slots: u32,
+    /// Place of the target in the request's order of preference, 0 first. The same at every
+    /// router, so that all send a prompt's parts to where they are cached.
+    pub rank: usize,
+    /// It failed lately, or its entry lapsed: used only if nothing else is there.
+    pub doubtful: bool,
+    /// It said that it is full, a moment ago.
+    pub full: bool,
+    /// Already tried for this request.
+    pub tried: bool,
+}
+
+/// What a request asks of a placement.
+#[derive(Clone, Copy, Debug)]
+pub struct Demand {
+    /// Time to the answer that the operator aims at, what has passed already taken off.
+    pub aim: Duration,
+    /// Time that is left at all.
+    pub left: Duration,
+    /// Whether it uses a model engine.
+    pub engine: bool,
+}
+
+/// Weights of a choice.
+#[derive(Clone, Copy, Debug)]
+pub struct Weights {
+    /// How much earlier a target in another zone must begin to be chosen, ms. Traffic between
+    /// zones is paid for; 18 kB prompts make this the dearest part of a request after lateness.
+    pub far_ms: f64,
+    /// Weight of the prefill time a placement costs, against waiting: it delays all others too.
+    pub prefill: f64,
+    /// Cost of each request of ours already running there, ms: its steps get longer.
+    pub running_ms: f64,
+    /// Cost of each place down in the order of preference, ms; the first few only.
+    pub rank_ms: f64,
+    /// Answers later than this many times the aim are worth too little to be waited for.
+    pub late_x: f64,
+}
+
+impl Default for Weights {
+    fn default() -> Weights {
+        Weights { far_ms: 60.0, prefill: 1.5, running_ms: 2.0, rank_ms: 6.0, late_x: 2.0 }
+    }
+}
+
+/// A decision.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Placement {
+    /// Send it to the candidate of this index.
+    Send {
+        /// Index into the candidates.
+        index: usize,
+        /// Predicted time to the first token, ms; 0 for plain services.
+        predicted_ms: f64,
+    },
+    /// No target is there at all.
+    NoTarget,
+    /// All targets are too busy for it; room is expected in so many ms.
+    Busy {
+        /// When to come back, ms.
+        room_in_ms: f64,
+    },
+}
+
+fn cost(c: &Candidate, engine: bool, w: &Weights) -> f64 {
+    let far = if c.near { 0.0 } else { w.far_ms };
+    let place = f64::from(c.running) * w.running_ms;
+    if !engine {
+        let filled = f64::from(c.running) / f64::from(c.slots.max(1));
+        return far / 20.0 + filled * 100.0 + c.rank as f64 * 0.01;
+    }
+    let rank = c.rank.min(4) as f64 * w.rank_ms;
+    c.wait_ms + c.prefill_ms * w.prefill + far + place + rank
+}
+
+/// Chooses among `candidates`.
+///
+/// A request whose first token is expected later than `late_x` times its aim is refused at once
+/// with the time at which room is expected. Admitting it would delay all that wait behind it
+/// and make those late as well: with callers that come faster than the engines read, every
+/// request would end up late.
+pub fn place(candidates: &[Candidate], demand: &Demand, w: &Weights) -> Placement {
+    let usable = |c: &Candidate| !c.tried && !c.full && !c.doubtful;
+    let second_best = |c: &Candidate| !c.tried && !c.full;
+    let best = best(candidates, demand.engine, w, usable)
+        .or_else(|| best(candidates, demand.engine, w, second_best));
+    let Some(index) = best else {
+        let any_full = candidates.iter().any(|c| !c.tried && c.full);
+        let nothing =
+            if any_full { Placement::Busy { room_in_ms: 150.0 } } else { Placement::NoTarget };
+        return nothing;
+    };
+    if !demand.engine {
+        return Placement::Send { index, predicted_ms: 0.0 };
+    }
+    let c = &candidates[index];
+    let predicted_ms = c.wait_ms + c.prefill_ms;
+    let bound = (demand.aim.as_secs_f64() * w.late_x).min(demand.left.as_secs_f64()) * 1_000.0;
+    if predicted_ms > bound && c.wait_ms > 0.0 {
+        let aim_ms = demand.aim.as_secs_f64() * 1_000.0;
+        return Placement::Busy { room_in_ms: (predicted_ms - aim_ms * 0.8).max(50.0) };
+    }
+    Placement::Send { index, predicted_ms }
+}
+
+fn best(
+    candidates: &[Candidate],
+    engine: bool,
+    w: &Weights,
+    usable: impl Fn(&Candidate) -> bool,
+) -> Option<usize> {
+    let eligible = candidates.iter().enumerate().filter(|(_, c)| usable(c));
+    let cheapest =
+        eligible.min_by(|(_, a), (_, b)| cost(a, engine, w).total_cmp(&cost(b, engine, w)));
+    cheapest.map(|(i, _)| i)
+}
--- /dev/null
+++ b/src/gateway/pool.rs
@@ -0,0 +1,91 @@
+//! Kept connections to one target.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use tokio::time::{Instant, timeout};
+
+use crate::http1::{Conn, ResponseHead, keep_alive_seconds};
+
+/// How long bytes sent to a target may stay unacknowledged. A target without power never
+/// answers; idempotent work must then go elsewhere while there is time. Longer than several
+/// retransmissions on a link that loses packets.
+const SILENCE: Duration = Duration::from_millis(1_500);
+/// How long connecting may take. Within a region it takes a few ms; one lost packet costs a
+/// second, which is too long to wait for when other targets are there.
+const CONNECT: Duration = Duration::from_millis(300);
+/// Part of a stated idle timeout that is used, so that a request does not cross the close.
+const KEEP_USED: f64 = 0.6;
+/// Idle time after which a connection is not used again when the target states none.
+const KEEP_DEFAULT: Duration = Duration::from_secs(4);
+/// Kept connections to one target, at most; the rest are closed.
+const MAX_IDLE: usize = 16;
+
+/// A connection that can take a request.
+#[derive(Debug)]
+pub struct Link {
+    /// The connection.
+    pub conn: Conn,
+    /// Whether it has carried a request before.
+    pub used: bool,
+}
+
+#[derive(Debug)]
+struct Idle {
+    conn: Conn,
+    until: Instant,
+}
+
+/// Kept connections, the one used last at the end.
+#[derive(Debug, Default)]
+pub struct Pool {
+    idle: Vec<Idle>,
+}
+
+impl Pool {
+    /// A kept connection that is surely open and holds no stray bytes.
+    pub fn take(&mut self) -> Option<Link> {
+        let now = Instant::now();
+        self.idle.retain(|i| i.until > now);
+        while let Some(mut idle) = self.idle.pop() {
+            if idle.conn.is_quiet() {
+                return Some(Link { conn: idle.conn, used: true });
+            }
+        }
+        None
+    }
+
+    /// Keeps a connection whose last answer was whole, if that answer allows it.
+    pub fn put(&mut self, mut conn: Conn, answer: &ResponseHead) {
+        if !answer.keep || self.idle.len() >= MAX_IDLE || !conn.is_quiet() {
+            return;
+        }
+        let stated = keep_alive_seconds(&answer.headers).map(Duration::from_secs);
+        let keep = stated.map_or(KEEP_DEFAULT, |s| s.mul_f64(KEEP_USED).min(KEEP_DEFAULT));
+        self.idle.push(Idle { conn, until: Instant::now() + keep });
+    }
+
+    /// Closes all kept connections.
+    pub fn clear(&mut self) {
+        self.idle.clear();
+    }
+
+    /// Number of kept connections.
+    pub fn len(&self) -> usize {
+        self.idle.len()
+    }
+
+    /// Whether none is kept.
+    pub fn is_empty(&self) -> bool {
+        self.idle.is_empty()
+    }
+}
+
+/// A new connection.
+///
+/// # Errors
+/// Those of connecting; nothing was sent.
+pub async fn dial(addr: SocketAddr) -> std::io::Result<Link> {
+    let conn = timeout(CONNECT, Conn::dial(addr, SILENCE)).await??;
+    Ok(Link { conn, used: false })
+}
--- /dev/null
+++ b/src/gateway/stats.rs
@@ -0,0 +1,22 @@
+//! Short cuts from outcomes to figures.
+
+use super::outcome::Ended;
+use crate::stats::{EndLabels, Reason, Stats};
+
+/// Counts the end of a request.
+pub fn ended(stats: &Stats, kind: &'static str, outcome: &'static str) {
+    stats.requests.get_or_create(&EndLabels { kind, outcome }).inc();
+}
+
+/// Counts a failed send.
+pub fn sent(stats: &Stats, ended: Ended) {
+    let reason = match ended {
+        Ended::NotSent => "not_sent",
+        Ended::NotRun => "not_run",
+        Ended::OtherTarget => "other_target",
+        Ended::NoAnswer => "no_answer",
+        Ended::Failed => "failed",
+        Ended::Truncated => "truncated",
+    };
+    stats.sends.get_or_create(&Reason { reason }).inc();
+}
--- /dev/null
+++ b/src/gateway/sync.rs
@@ -0,0 +1,206 @@
+//! Follows the store: the operator's configuration and the targets' entries.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use tokio::time::{Instant, sleep};
+
+use super::catalog::Catalog;
+use super::state::{Gateway, Platform, StoreLink};
+use crate::rows::{Page, Row, StoreError, Ver};
+
+/// How long a feed waits for a change. Short, because a connection that has gone silent shows
+/// only when this is over, and a configuration must be in force 2 s after its acknowledgement.
+const FEED_WAIT: Duration = Duration::from_millis(1_200);
+/// Pause after a failed call.
+const RETRY: Duration = Duration::from_millis(200);
+/// How long after the store's return entries that lapsed meanwhile may come back: the targets
+/// write again within about 2 s of it.
+const LAPSE_GRACE: Duration = Duration::from_millis(2_600);
+/// A configuration read so lately need not be read again to be sure of a refusal.
+const CONFIRMED_FOR: Duration = Duration::from_millis(100);
+
+/// Notes how a call to the store went.
+fn note_link<P: Platform>(gw: &Gateway<P>, outcome: &Result<Page, StoreError>) {
+    let now = Instant::now();
+    let before = gw.link.get();
+    match outcome {
+        Ok(page) => {
+            gw.keeper.saw(page.now);
+            if before.away {
+                let ms = before.answered.map(|t| (now - t).as_millis());
+                gw.log
+                    .note("store", format_args!("state=answers silent_ms={ms:?} ver={}", page.ver));
+            }
+            let back = if before.away { Some(now) } else { before.back };
+            gw.link.set(StoreLink { answered: Some(now), back, away: false });
+        }
+        // A history that is gone is an answer all the same.
+        Err(StoreError::HistoryGone | StoreError::Conflict(_)) => (),
+        Err(e) => {
+            if !before.away {
+                gw.log.note("store", format_args!("state=away cause={e}"));
+            }
+            gw.link.set(StoreLink { away: true, ..before });
+        }
+    }
+}
+
+/// Whether entries that are missing now may be back in a moment.
+fn may_return<P: Platform>(gw: &Gateway<P>) -> bool {
+    gw.link.get().back.is_some_and(|t| t.elapsed() < LAPSE_GRACE)
+}
+
+fn apply_config<P: Platform>(gw: &Gateway<P>, row: &Row) {
+    let Some(value) = &row.value else { return };
+    let next = match gw.platform.catalog(value) {
+        Ok(next) => next,
+        Err(e) => {
+            gw.stats.config_rejected.inc();
+            return gw
+                .log
+                .note("config", format_args!("row_ver={} outcome=unreadable error={e}", row.ver));
+        }
+    };
+    let current = gw.config();
+    if current.as_ref().is_some_and(|c| c.version >= next.version) {
+        return;
+    }
+    put_in_force(gw, next, row.ver);
+}
+
+fn put_in_force<P: Platform>(gw: &Gateway<P>, next: Catalog, ver: Ver) {
+    let from = gw.config().map_or(0, |c| c.version);
+    gw.log.note(
+        "config",
+        format_args!(
+            "version={} from={from} row_ver={ver} routes={} outcome=in_force",
+            next.version,
+            next.route_count()
+        ),
+    );
+    gw.stats.config_version.set(i64::try_from(next.version).unwrap_or(i64::MAX));
+    gw.keeper.set_prepaid(next.prepaid());
+    *gw.catalog.borrow_mut() = Some(Rc::new(next));
+    gw.entry.send_modify(|e| e.ready = gw.is_ready());
+}
+
+/// Reads the configuration anew, so that a refusal which rests on it is right at this moment.
+/// Returns whether the store answered.
+pub async fn confirm_config<P: Platform>(gw: &Gateway<P>) -> bool {
+    let asked = Instant::now();
+    let mut confirmed = gw.confirmed.lock().await;
+    if confirmed.is_some_and(|t| t >= asked || t.elapsed() < CONFIRMED_FOR) {
+        return true;
+    }
+    let sent = Instant::now();
+    let (table, key) = gw.platform.config_row();
+    let outcome = gw.platform.scan(table).await;
+    note_link(gw, &outcome);
+    let Ok(page) = outcome else { return false };
+    page.rows.iter().filter(|r| r.at.key == key).for_each(|r| apply_config(gw, r));
+    *confirmed = Some(sent);
+    true
+}
+
+/// Follows the configuration for ever.
+pub async fn follow_config<P: Platform>(gw: Rc<Gateway<P>>) {
+    let (table, key) = gw.platform.config_row();
+    let take = |gw: &Gateway<P>, page: &Page, _whole: bool| {
+        page.rows.iter().filter(|r| r.at.key == key).for_each(|r| apply_config(gw, r));
+    };
+    follow(&gw, table, take).await;
+}
+
+/// Follows the targets' entries for ever.
+pub async fn follow_targets<P: Platform>(gw: Rc<Gateway<P>>) {
+    let table = gw.platform.targets_table();
+    follow(&gw, table, take_targets::<P>).await;
+}
+
+fn take_targets<P: Platform>(gw: &Gateway<P>, page: &Page, whole: bool) {
+    for row in &page.rows {
+        match &row.value {
+            Some(value) => take_target(gw, row, value),
+            None => drop_target(gw, &row.at.key, row.ver),
+        }
+    }
+    if !whole {
+        return;
+    }
+    let listed = |id: &str| page.rows.iter().any(|r| r.at.key == id);
+    for id in gw.targets.ids().iter().filter(|id| !listed(id)) {
+        drop_target(gw, id, page.ver);
+    }
+}
+
+fn take_target<P: Platform>(gw: &Gateway<P>, row: &Row, value: &[u8]) {
+    match gw.platform.target(&row.at.key, value) {
+        Ok(info) => {
+            let line = format!(
+                "target={} service={} state={:?} zone={}",
+                info.id, info.service, info.state, info.zone
+            );
+            if gw.targets.set(info) {
+                gw.log.note("target", format_args!("{line} ver={}", row.ver));
+            }
+        }
+        Err(e) => gw
+            .log
+            .note("target", format_args!("target={} outcome=unreadable error={e}", row.at.key)),
+    }
+}
+
+/// Entries also vanish because the store was away and the targets could not write to it. Such a
+/// target is kept for a while as a last resort: to drop all of them at once would refuse every
+/// request although the targets live.
+fn drop_target<P: Platform>(gw: &Gateway<P>, id: &str, ver: Ver) {
+    if may_return(gw) {
+        gw.targets.lapse(id);
+        return gw.log.note("target", format_args!("target={id} state=lapsed ver={ver}"));
+    }
+    if gw.targets.remove(id) {
+        gw.log.note("target", format_args!("target={id} state=gone ver={ver}"));
+    }
+}
+
+/// Removes lapsed targets once their time is over.
+pub async fn sweep_targets<P: Platform>(gw: Rc<Gateway<P>>) {
+    loop {
+        sleep(LAPSE_GRACE / 4).await;
+        let link = gw.link.get();
+        if link.away || may_return(&gw) {
+            continue;
+        }
+        for id in gw.targets.sweep() {
+            gw.log.note("target", format_args!("target={id} state=gone"));
+        }
+    }
+}
+
+/// Reads a table, then its changes; all of it again whenever its history is gone.
+async fn follow<P: Platform>(
+    gw: &Gateway<P>,
+    table: &str,
+    take: impl Fn(&Gateway<P>, &Page, bool),
+) {
+    let mut at: Option<Ver> = None;
+    loop {
+        let outcome = match at {
+            None => gw.platform.scan(table).await,
+            Some(ver) => gw.platform.feed(table, ver, FEED_WAIT).await,
+        };
+        note_link(gw, &outcome);
+        match outcome {
+            Ok(page) => {
+                take(gw, &page, at.is_none());
+                at = at.max(Some(page.ver));
+            }
+            Err(StoreError::HistoryGone) => {
+                gw.log.note("feed", format_args!("table={table} outcome=history_gone"));
+                at = None;
+            }
+            Err(_) => sleep(RETRY).await,
+        }
+    }
+}
--- /dev/null
+++ b/src/http1/conn.rs
@@ -0,0 +1,240 @@
+//! A buffered connection, used towards callers and towards targets.
+
+use std::io;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::{Bytes, BytesMut};
+use socket2::{SockRef, TcpKeepalive};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpSocket, TcpStream};
+
+use super::body::{Decoder, Step};
+use super::head::{BadHead, RequestHead, ResponseHead, parse_request, parse_response};
+
+/// Bytes that are read ahead of what a request needs, at most; a peer that sends more waits.
+const READ_AHEAD: usize = 32 * 1024;
+/// Room asked for with each read. Small, because idle connections keep it.
+const READ_SIZE: usize = 4 * 1024;
+
+/// Why no head was read.
+#[derive(Debug)]
+pub enum HeadError {
+    /// The peer closed the connection between two messages.
+    Closed,
+    /// The peer closed it within a head, or it broke.
+    Broken(io::Error),
+    /// What came is no head.
+    Bad(BadHead),
+    /// The head is longer than allowed.
+    TooLong,
+}
+
+/// A TCP connection with the bytes that were read but not used yet.
+#[derive(Debug)]
+pub struct Conn {
+    io: TcpStream,
+    buf: BytesMut,
+    eof: bool,
+}
+
+impl Conn {
+    /// Takes over an open socket. Small writes go out at once. `silence` is how long sent bytes
+    /// may stay unacknowledged before the connection counts as broken: a peer without power or
+    /// behind a partition never answers, and only this ends the wait.
+    ///
+    /// # Errors
+    /// Those of the socket options.
+    pub fn new(io: TcpStream, silence: Duration) -> io::Result<Conn> {
+        io.set_nodelay(true)?;
+        let sock = SockRef::from(&io);
+        sock.set_tcp_user_timeout(Some(silence))?;
+        let probe = Duration::from_secs(silence.as_secs().max(1));
+        sock.set_tcp_keepalive(&TcpKeepalive::new().with_time(probe).with_interval(probe))?;
+        Ok(Conn { io, buf: BytesMut::new(), eof: false })
+    }
+
+    /// Connects to `addr`.
+    ///
+    /// # Errors
+    /// Those of connecting. There is no timeout here: callers set one.
+    pub async fn dial(addr: SocketAddr, silence: Duration) -> io::Result<Conn> {
+        let sock = if addr.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
+        Conn::new(sock.connect(addr).await?, silence)
+    }
+
+    /// Reads more bytes. Safe to cancel: no byte is lost.
+    async fn fill(&mut self) -> io::Result<usize> {
+        if self.buf.is_empty() && self.buf.capacity() > READ_AHEAD {
+            self.buf = BytesMut::new();
+        }
+        self.buf.reserve(READ_SIZE);
+        let n = self.io.read_buf(&mut self.buf).await?;
+        self.eof |= n == 0;
+        Ok(n)
+    }
+
+    /// Whether nothing that was read is unused.
+    pub fn is_drained(&self) -> bool {
+        self.buf.is_empty()
+    }
+
+    /// Whether a kept connection can take a request: open, and without bytes that no request
+    /// asked for. Such bytes would be taken for the next answer.
+    pub fn is_quiet(&mut self) -> bool {
+        if self.eof || !self.buf.is_empty() {
+            return false;
+        }
+        let mut byte = [0];
+        matches!(self.io.try_read(&mut byte), Err(e) if e.kind() == io::ErrorKind::WouldBlock)
+    }
+
+    /// Waits for the first byte of a message.
+    ///
+    /// # Errors
+    /// Those of the socket; `false` is the end of the connection.
+    pub async fn has_more(&mut self) -> io::Result<bool> {
+        Ok(!self.buf.is_empty() || self.fill().await? > 0)
+    }
+
+    /// Reads a request head of at most `max` bytes.
+    ///
+    /// # Errors
+    /// See [`HeadError`].
+    pub async fn read_request(&mut self, max: usize) -> Result<RequestHead, HeadError> {
+        loop {
+            if let Some(head) = parse_request(&mut self.buf).map_err(HeadError::Bad)? {
+                return Ok(head);
+            }
+            self.grow_head(max).await?;
+        }
+    }
+
+    /// Reads a response head of at most `max` bytes.
+    ///
+    /// # Errors
+    /// See [`HeadError`].
+    pub async fn read_response(&mut self, max: usize) -> Result<ResponseHead, HeadError> {
+        loop {
+            if let Some(head) = parse_response(&mut self.buf).map_err(HeadError::Bad)? {
+                return Ok(head);
+            }
+            self.grow_head(max).await?;
+        }
+    }
+
+    async fn grow_head(&mut self, max: usize) -> Result<(), HeadError> {
+        if self.buf.len() > max {
+            return Err(HeadError::TooLong);
+        }
+        match self.fill().await {
+            Ok(0) if self.buf.is_empty() => Err(HeadError::Closed),
+            Ok(0) => Err(HeadError::Broken(io::ErrorKind::UnexpectedEof.into())),
+            Ok(_) => Ok(()),
+            Err(e) => Err(HeadError::Broken(e)),
+        }
+    }
+
+    /// The next piece of a body's payload; `None` once it is whole. Safe to cancel.
+    ///
+    /// # Errors
+    /// `UnexpectedEof` if the connection ended within the body, `InvalidData` for broken
+    /// framing, else those of the socket. A body that ends with its connection is whole only
+    /// if the connection was closed in order, not reset.
+    pub async fn read_piece(&mut self, body: &mut Decoder) -> io::Result<Option<Bytes>> {
+        loop {
+            match body.decode(&mut self.buf) {
+                Step::Piece(piece) => return Ok(Some(piece)),
+                Step::Done => return Ok(None),
+                Step::Bad => return Err(io::ErrorKind::InvalidData.into()),
+                Step::More if self.eof && body.ends_with_connection() => return Ok(None),
+                Step::More if self.eof => return Err(io::ErrorKind::UnexpectedEof.into()),
+                Step::More => {
+                    self.fill().await?;
+                }
+            }
+        }
+    }
+
+    /// Reads a whole body of at most `max` bytes; `None` if it is longer.
+    ///
+    /// # Errors
+    /// As [`Conn::read_piece`].
+    pub async fn read_body(&mut self, mut body: Decoder, max: u64) -> io::Result<Option<Bytes>> {
+        if body.known_length().is_some_and(|n| n > max) {
+            return Ok(None);
+        }
+        let Some(first) = self.read_piece(&mut body).await? else {
+            return Ok(Some(Bytes::new()));
+        };
+        if body.is_done() {
+            return Ok(Some(first));
+        }
+        let left = body.known_length().unwrap_or(0).min(max);
+        let mut whole = BytesMut::with_capacity(first.len() + usize::try_from(left).unwrap_or(0));
+        whole.extend_from_slice(&first);
+        while let Some(piece) = self.read_piece(&mut body).await? {
+            whole.extend_from_slice(&piece);
+            if whole.len() as u64 > max {
+                return Ok(None);
+            }
+        }
+        Ok(Some(whole.freeze()))
+    }
+
+    /// Returns once the peer has closed the connection or it broke. Bytes of a next request
+    /// that arrive meanwhile are kept. Safe to cancel.
+    pub async fn closed(&mut self) {
+        while !self.eof && self.buf.len() < READ_AHEAD {
+            if self.fill().await.is_err() {
+                return;
+            }
+        }
+        if !self.eof {
+            std::future::pending::<()>().await;
+        }
+    }
+
+    /// Writes all of `bytes`.
+    ///
+    /// # Errors
+    /// Those of the socket.
+    pub async fn write(&mut self, bytes: &[u8]) -> io::Result<()> {
+        self.io.write_all(bytes).await
+    }
+
+    /// Writes a request while watching for an answer that comes before all of it was taken.
+    /// Returns whether all of it was written.
+    ///
+    /// # Errors
+    /// Those of the socket, with nothing to read from it.
+    pub async fn write_until_answered(&mut self, bytes: &[u8]) -> io::Result<bool> {
+        // The usual request fits into the socket's buffer: no second task is needed.
+        let sent = match self.io.try_write(bytes) {
+            Ok(n) => n,
+            Err(e) if e.kind() == io::ErrorKind::WouldBlock => 0,
+            Err(e) => return Err(e),
+        };
+        if sent == bytes.len() {
+            return Ok(true);
+        }
+        let (mut rd, mut wr) = self.io.split();
+        tokio::select! {
+            biased;
+            done = wr.write_all(&bytes[sent..]) => done.map(|()| true),
+            _ = async {
+                self.buf.reserve(READ_SIZE);
+                rd.read_buf(&mut self.buf).await
+            } => Ok(false),
+        }
+    }
+
+    /// Ends the connection with a reset, so that the peer cannot take what it got for whole.
+    pub fn abort(self) {
+        // Without lingering, closing resets the connection. A socket that refuses the option
+        // is closed in order: chunked and sized bodies still show that they are cut.
+        if let Err(e) = SockRef::from(&self.io).set_linger(Some(Duration::ZERO)) {
+            log::debug!("conn abort error={e}");
+        }
+    }
+}
--- /dev/null
+++ b/src/http1/head.rs
@@ -0,0 +1,209 @@
+//! Request and response heads, and how their bodies are framed.
+
+use bytes::{Buf, Bytes, BytesMut};
+use compact_str::CompactString;
+
+use super::body::Decoder;
+
+/// More header lines than this are refused.
+const MAX_HEADERS: usize = 96;
+
+/// One header line, its name as it was sent.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Header {
+    /// Name in the sender's spelling.
+    pub name: CompactString,
+    /// Value without surrounding white space.
+    pub value: Bytes,
+}
+
+impl Header {
+    /// A header of our own.
+    pub fn new(name: &str, value: &str) -> Header {
+        Header { name: name.into(), value: Bytes::copy_from_slice(value.as_bytes()) }
+    }
+
+    /// Whether this header has that name, in any case.
+    pub fn is(&self, name: &str) -> bool {
+        self.name.eq_ignore_ascii_case(name)
+    }
+
+    /// The value as text, if it is.
+    pub fn text(&self) -> Option<&str> {
+        std::str::from_utf8(&self.value).ok()
+    }
+}
+
+/// The text of the first header of that name.
+pub fn header<'a>(headers: &'a [Header], name: &str) -> Option<&'a str> {
+    headers.iter().find(|h| h.is(name)).and_then(Header::text)
+}
+
+/// The comma-separated tokens of all headers of that name.
+pub fn tokens<'a>(headers: &'a [Header], name: &'a str) -> impl Iterator<Item = &'a str> {
+    let values = headers.iter().filter(move |h| h.is(name)).filter_map(Header::text);
+    values.flat_map(|v| v.split(',')).map(str::trim).filter(|t| !t.is_empty())
+}
+
+/// The idle timeout that a peer states in `Keep-Alive`, in seconds.
+pub fn keep_alive_seconds(headers: &[Header]) -> Option<u64> {
+    let params = header(headers, "keep-alive")?;
+    let timeout = params.split(',').find_map(|p| p.trim().strip_prefix("timeout="))?;
+    timeout.trim().parse().ok()
+}
+
+/// Why a head cannot be used.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum BadHead {
+    /// Not HTTP, or framed in a way that two readers could take differently.
+    Malformed,
+    /// A transfer coding other than `chunked`.
+    UnknownCoding,
+}
+
+/// The head of a request.
+#[derive(Clone, Debug)]
+pub struct RequestHead {
+    /// Method as sent.
+    pub method: CompactString,
+    /// Path and query as sent.
+    pub target: CompactString,
+    /// All header lines in their order.
+    pub headers: Vec<Header>,
+    /// How the body is framed.
+    pub body: Decoder,
+    /// Whether the connection can take another request after this one.
+    pub keep: bool,
+    /// Whether the caller understands chunked answers.
+    pub http11: bool,
+    /// Whether the caller waits for `100 Continue` before it sends the body.
+    pub expects_continue: bool,
+}
+
+/// The head of a response.
+#[derive(Clone, Debug)]
+pub struct ResponseHead {
+    /// Status code.
+    pub status: u16,
+    /// Reason phrase as sent.
+    pub reason: CompactString,
+    /// All header lines in their order.
+    pub headers: Vec<Header>,
+    /// How the body is framed.
+    pub body: Decoder,
+    /// Whether the connection can take another request after this response.
+    pub keep: bool,
+}
+
+fn collect(lines: &[httparse::Header<'_>]) -> Vec<Header> {
+    let copy = |h: &httparse::Header<'_>| Header {
+        name: h.name.into(),
+        value: Bytes::copy_from_slice(h.value.trim_ascii()),
+    };
+    lines.iter().map(copy).collect()
+}
+
+/// The body length that all `Content-Length` lines agree on.
+fn content_length(headers: &[Header]) -> Result<Option<u64>, BadHead> {
+    let mut length = None;
+    for h in headers.iter().filter(|h| h.is("content-length")) {
+        let digits = h.text().ok_or(BadHead::Malformed)?;
+        if digits.is_empty() || !digits.bytes().all(|b| b.is_ascii_digit()) {
+            return Err(BadHead::Malformed);
+        }
+        let n: u64 = digits.parse().map_err(|_| BadHead::Malformed)?;
+        if length.is_some_and(|l| l != n) {
+            return Err(BadHead::Malformed);
+        }
+        length = Some(n);
+    }
+    Ok(length)
+}
+
+/// Whether the body is chunked; any other coding is an error.
+fn chunked(headers: &[Header]) -> Result<bool, BadHead> {
+    let mut codings = tokens(headers, "transfer-encoding");
+    match (codings.next(), codings.next()) {
+        (None, _) if headers.iter().any(|h| h.is("transfer-encoding")) => Err(BadHead::Malformed),
+        (None, _) => Ok(false),
+        (Some(c), None) if c.eq_ignore_ascii_case("chunked") => Ok(true),
+        _ => Err(BadHead::UnknownCoding),
+    }
+}
+
+fn keeps(headers: &[Header], http11: bool) -> bool {
+    let has = |t: &str| tokens(headers, "connection").any(|c| c.eq_ignore_ascii_case(t));
+    if http11 { !has("close") } else { has("keep-alive") }
+}
+
+/// Takes a request head from the front of `buf`; `None` while it is incomplete.
+///
+/// A request with both `Content-Length` and `Transfer-Encoding` is malformed: one reader would
+/// end the body by one and the next reader by the other, and what lies between would be run as
+/// a request of its own.
+///
+/// # Errors
+/// `Malformed` or `UnknownCoding`; the connection cannot be used any further.
+pub fn parse_request(buf: &mut BytesMut) -> Result<Option<RequestHead>, BadHead> {
+    let mut lines = [httparse::EMPTY_HEADER; MAX_HEADERS];
+    let mut req = httparse::Request::new(&mut lines);
+    let len = match req.parse(buf) {
+        Ok(httparse::Status::Complete(len)) => len,
+        Ok(httparse::Status::Partial) => return Ok(None),
+        Err(_) => return Err(BadHead::Malformed),
+    };
+    let headers = collect(req.headers);
+    let method = CompactString::from(req.method.unwrap_or_default());
+    let target = CompactString::from(req.path.unwrap_or_default());
+    let http11 = req.version == Some(1);
+    let length = content_length(&headers)?;
+    let body = match (chunked(&headers)?, length) {
+        (true, Some(_)) => return Err(BadHead::Malformed),
+        (true, None) if !http11 => return Err(BadHead::Malformed),
+        (true, None) => Decoder::chunked(),
+        (false, n) => Decoder::length(n.unwrap_or(0)),
+    };
+    if http11 && headers.iter().filter(|h| h.is("host")).count() != 1 {
+        return Err(BadHead::Malformed);
+    }
+    let keep = keeps(&headers, http11);
+    let expects_continue =
+        header(&headers, "expect").is_some_and(|v| v.eq_ignore_ascii_case("100-continue"));
+    buf.advance(len);
+    Ok(Some(RequestHead { method, target, headers, body, keep, http11, expects_continue }))
+}
+
+/// Takes a response head from the front of `buf`; `None` while it is incomplete. Interim
+/// responses (1xx) are skipped.
+///
+/// # Errors
+/// `Malformed` or `UnknownCoding`: what the peer sent is no response.
+pub fn parse_response(buf: &mut BytesMut) -> Result<Option<ResponseHead>, BadHead> {
+    loop {
+        let mut lines = [httparse::EMPTY_HEADER; MAX_HEADERS];
+        let mut res = httparse::Response::new(&mut lines);
+        let len = match res.parse(buf) {
+            Ok(httparse::Status::Complete(len)) => len,
+            Ok(httparse::Status::Partial) => return Ok(None),
+            Err(_) => return Err(BadHead::Malformed),
+        };
+        let status = res.code.unwrap_or(0);
+        let headers = collect(res.headers);
+        let reason = CompactString::from(res.reason.unwrap_or_default());
+        let http11 = res.version == Some(1);
+        buf.advance(len);
+        if (100..200).contains(&status) {
+            continue;
+        }
+        let length = content_length(&headers)?;
+        let body = match (chunked(&headers)?, length) {
+            (true, Some(_)) => return Err(BadHead::Malformed),
+            _ if status == 204 || status == 304 => Decoder::length(0),
+            (true, None) => Decoder::chunked(),
+            (false, Some(n)) => Decoder::length(n),
+            (false, None) => Decoder::until_close(),
+        };
+        let keep = keeps(&headers, http11) && !body.ends_with_connection();
+        return Ok(Some(ResponseHead { status, reason, headers, body, keep }));
+    }
+}
--- /dev/null
+++ b/src/http1/mod.rs
@@ -0,0 +1,17 @@
+//! HTTP/1.1 connections whose every byte is accounted for.
+//!
+//! Forwarding has to know things that general servers and clients hide: whether any byte of a
+//! request left, whether a kept connection holds bytes that belong to no request, and whether
+//! a request was framed in two ways at once. Heads are parsed by `httparse`; this module adds
+//! the framing of bodies and a buffered connection.
+
+mod body;
+mod conn;
+mod head;
+
+pub use body::{Decoder, Step};
+pub use conn::{Conn, HeadError};
+pub use head::{
+    BadHead, Header, RequestHead, ResponseHead, header, keep_alive_seconds, parse_request,
+    parse_response, tokens,
+};
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,6 +5,7 @@
 //! becomes of one request, [`route`] where it goes, [`membership`] who else is there, [`router`]
 //! the daemon of all these, [`api`] what callers see of it.
 
+pub mod allowance;
 pub mod api;
 pub mod audit;
 pub mod budget;
@@ -15,12 +16,17 @@
 pub mod engine;
 pub mod error;
 pub mod experiment;
+pub mod gateway;
+pub mod http1;
 pub mod ids;
 pub mod load;
 pub mod membership;
 pub mod operator;
+pub mod oplog;
 pub mod platform;
 pub mod request;
 pub mod route;
 pub mod router;
+pub mod rows;
 pub mod standin;
+pub mod stats;
--- /dev/null
+++ b/src/rows/memory.rs
@@ -0,0 +1,230 @@
+//! A row store in memory, for tests and demonstrations, that can be told to fail.
+
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use compact_str::CompactString;
+use tokio::sync::Notify;
+use tokio::time::Instant;
+
+use super::{Committed, Page, Row, RowKey, RowStore, StoreError, StoreMs, StoreResult, Tx, Ver};
+
+/// How often a waiting feed looks for a change of the injected fault.
+const FEED_POLL: Duration = Duration::from_millis(50);
+
+/// What goes wrong with calls to the store.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum Fault {
+    /// Nothing.
+    #[default]
+    None,
+    /// Calls are turned away with this status; nothing is done.
+    Reject(u16),
+    /// Calls are never answered and do nothing.
+    Silent,
+    /// Transactions take effect, and their answers are lost.
+    LoseAnswers,
+    /// Transactions are not answered, and take effect later if their conditions still hold.
+    Late(Duration),
+}
+
+#[derive(Debug, Default)]
+struct Inner {
+    rows: Vec<Row>,
+    log: Vec<Row>,
+    ver: Ver,
+    history_from: Ver,
+}
+
+impl Inner {
+    fn find(&self, at: &RowKey) -> Result<usize, usize> {
+        self.rows.binary_search_by(|r| r.at.cmp(at))
+    }
+
+    fn current(&self, at: &RowKey) -> Row {
+        let missing = Row { at: at.clone(), ver: Ver(0), value: None };
+        self.find(at).map_or(missing, |i| self.rows[i].clone())
+    }
+
+    fn put(&mut self, at: &RowKey, value: Option<Bytes>) {
+        let row = Row { at: at.clone(), ver: self.ver, value };
+        self.log.push(row.clone());
+        match (self.find(at), row.value.is_some()) {
+            (Ok(i), true) => self.rows[i] = row,
+            (Ok(i), false) => drop(self.rows.remove(i)),
+            (Err(i), true) => self.rows.insert(i, row),
+            (Err(_), false) => (),
+        }
+    }
+
+    fn apply(&mut self, tx: &Tx) -> Result<Ver, Vec<Row>> {
+        let holds = |(at, ver): &(RowKey, Ver)| self.current(at).ver == *ver;
+        if !tx.expect.iter().all(holds) {
+            return Err(tx.expect.iter().map(|(at, _)| self.current(at)).collect());
+        }
+        self.ver.0 += 1;
+        for (at, value) in &tx.write {
+            self.put(at, Some(value.clone()));
+        }
+        for at in &tx.delete {
+            self.put(at, None);
+        }
+        Ok(self.ver)
+    }
+}
+
+#[derive(Debug)]
+struct Shared {
+    inner: RefCell<Inner>,
+    changed: Notify,
+    start: Instant,
+}
+
+/// A handle to the store. Clones share the rows, and each has a fault of its own, so that one
+/// user of the store can be cut off while others go on.
+#[derive(Debug)]
+pub struct MemoryRows {
+    shared: Rc<Shared>,
+    fault: Rc<RefCell<Fault>>,
+}
+
+impl Clone for MemoryRows {
+    fn clone(&self) -> MemoryRows {
+        MemoryRows { shared: self.shared.clone(), fault: self.fault.clone() }
+    }
+}
+
+impl Default for MemoryRows {
+    fn default() -> MemoryRows {
+        MemoryRows::new()
+    }
+}
+
+impl MemoryRows {
+    /// An empty store.
+    pub fn new() -> MemoryRows {
+        let shared =
+            Shared { inner: RefCell::default(), changed: Notify::new(), start: Instant::now() };
+        MemoryRows { shared: Rc::new(shared), fault: Rc::default() }
+    }
+
+    /// A handle for another user of the same rows, with a fault of its own.
+    pub fn another(&self) -> MemoryRows {
+        MemoryRows { shared: self.shared.clone(), fault: Rc::default() }
+    }
+
+    /// Sets what goes wrong from now on.
+    pub fn set_fault(&self, fault: Fault) {
+        *self.fault.borrow_mut() = fault;
+    }
+
+    /// Drops the history of changes: feeds from before now are told to read again.
+    pub fn compact(&self) {
+        let mut inner = self.shared.inner.borrow_mut();
+        inner.log.clear();
+        inner.ver.0 += 1;
+        inner.history_from = inner.ver;
+    }
+
+    /// Writes a row without any condition, as an operator or target would.
+    pub fn put(&self, table: &str, key: &str, value: &[u8]) -> Ver {
+        let at = RowKey::new(table, key);
+        let tx = Tx { write: vec![(at, Bytes::copy_from_slice(value))], ..Tx::default() };
+        self.apply(&tx).unwrap_or_default()
+    }
+
+    /// Deletes a row.
+    pub fn remove(&self, table: &str, key: &str) {
+        let tx = Tx { delete: vec![RowKey::new(table, key)], ..Tx::default() };
+        // Without conditions there is no conflict to report.
+        drop(self.apply(&tx));
+    }
+
+    /// The store's clock.
+    pub fn now(&self) -> StoreMs {
+        let ms = self.shared.start.elapsed().as_millis();
+        StoreMs(1_000 + u64::try_from(ms).unwrap_or(u64::MAX - 1_000))
+    }
+
+    fn apply(&self, tx: &Tx) -> Result<Ver, Vec<Row>> {
+        let done = self.shared.inner.borrow_mut().apply(tx);
+        self.shared.changed.notify_waiters();
+        done
+    }
+
+    fn fault(&self) -> Fault {
+        *self.fault.borrow()
+    }
+
+    /// Fails as the fault says; transactions see to their own faults.
+    async fn pass(&self) -> StoreResult<()> {
+        match self.fault() {
+            Fault::Reject(status) => Err(StoreError::Rejected(status)),
+            Fault::Silent => silent().await,
+            _ => Ok(()),
+        }
+    }
+
+    fn page(&self, rows: Vec<Row>) -> Page {
+        Page { rows, ver: self.shared.inner.borrow().ver, now: self.now() }
+    }
+}
+
+/// A call that nobody answers: the client's timeout ends it.
+async fn silent<T>() -> StoreResult<T> {
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    Err(StoreError::Unknown(CompactString::const_new("timeout")))
+}
+
+impl RowStore for MemoryRows {
+    async fn scan(&self, table: &str) -> StoreResult<Page> {
+        self.pass().await?;
+        let rows: Vec<Row> = {
+            let inner = self.shared.inner.borrow();
+            let of_table = |r: &&Row| r.at.table == table && r.at.part.is_empty();
+            inner.rows.iter().filter(of_table).cloned().collect()
+        };
+        Ok(self.page(rows))
+    }
+
+    async fn feed(&self, table: &str, after: Ver, wait: Duration) -> StoreResult<Page> {
+        let until = Instant::now() + wait;
+        loop {
+            self.pass().await?;
+            if after < self.shared.inner.borrow().history_from {
+                return Err(StoreError::HistoryGone);
+            }
+            let rows: Vec<Row> = {
+                let inner = self.shared.inner.borrow();
+                let newer = |r: &&Row| r.ver > after && r.at.table == table;
+                inner.log.iter().filter(newer).cloned().collect()
+            };
+            if !rows.is_empty() || Instant::now() >= until {
+                return Ok(self.page(rows));
+            }
+            let change = self.shared.changed.notified();
+            let _ = tokio::time::timeout(FEED_POLL, change).await;
+        }
+    }
+
+    async fn commit(&self, tx: &Tx) -> StoreResult<Committed> {
+        self.pass().await?;
+        if let Fault::Late(delay) = self.fault() {
+            let (late, tx) = (self.clone(), tx.clone());
+            tokio::task::spawn_local(async move {
+                tokio::time::sleep(delay).await;
+                // A condition that no longer holds is the usual end of a late write.
+                drop(late.apply(&tx));
+            });
+            return silent().await;
+        }
+        let done = self.apply(tx);
+        if self.fault() == Fault::LoseAnswers {
+            return silent().await;
+        }
+        let ver = done.map_err(StoreError::Conflict)?;
+        Ok(Committed { ver, now: self.now() })
+    }
+}
--- /dev/null
+++ b/src/stats.rs
@@ -0,0 +1,107 @@
+//! Counters and histograms, as the metrics page shows them.
+
+use prometheus_client::encoding::EncodeLabelSet;
+use prometheus_client::encoding::text::encode;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
+use prometheus_client::registry::Registry;
+use std::sync::Arc;
+
+/// A request's end: what answered, and why.
+#[derive(Clone, Debug, Eq, Hash, PartialEq, EncodeLabelSet)]
+pub struct EndLabels {
+    /// Kind of route.
+    pub kind: &'static str,
+    /// How it ended.
+    pub outcome: &'static str,
+}
+
+/// One label.
+#[derive(Clone, Debug, Eq, Hash, PartialEq, EncodeLabelSet)]
+pub struct Reason {
+    /// Why.
+    pub reason: &'static str,
+}
+
+/// All figures of a router. Clones share them.
+#[derive(Clone, Debug)]
+pub struct Stats {
+    registry: Arc<Registry>,
+    /// Requests by kind of route and outcome.
+    pub requests: Family<EndLabels, Counter>,
+    /// Sends to targets by how they ended.
+    pub sends: Family<Reason, Counter>,
+    /// Requests that a caller left before their end.
+    pub left: Counter,
+    /// Time to a stream's first event, s.
+    pub first_event: Histogram,
+    /// Time to a whole plain answer, s.
+    pub answer: Histogram,
+    /// Tokens charged.
+    pub tokens: Counter,
+    /// Version of the configuration in force.
+    pub config_version: Gauge,
+    /// Configurations that could not be read.
+    pub config_rejected: Counter,
+    /// Requests being served.
+    pub active: Gauge,
+    /// Lines that the log dropped.
+    pub log_dropped: Gauge,
+}
+
+impl Default for Stats {
+    fn default() -> Stats {
+        Stats::new()
+    }
+}
+
+impl Stats {
+    /// Figures that all stand at zero.
+    pub fn new() -> Stats {
+        let times = || Histogram::new(exponential_buckets(0.005, 2.0, 12));
+        let mut registry = Registry::with_prefix("kingcupwall");
+        let requests = Family::default();
+        registry.register("requests", "Requests by kind of route and outcome", requests.clone());
+        let sends = Family::default();
+        registry.register("sends", "Sends to targets by how they ended", sends.clone());
+        let left = Counter::default();
+        registry.register("callers_left", "Requests whose caller left early", left.clone());
+        let first_event = times();
+        registry.register("first_event_seconds", "Time to the first event", first_event.clone());
+        let answer = times();
+        registry.register("answer_seconds", "Time to a plain answer", answer.clone());
+        let tokens = Counter::default();
+        registry.register("tokens_charged", "Tokens charged to organisations", tokens.clone());
+        let config_version = Gauge::default();
+        registry.register("config_version", "Version in force", config_version.clone());
+        let config_rejected = Counter::default();
+        registry.register("config_rejected", "Unreadable configurations", config_rejected.clone());
+        let active = Gauge::default();
+        registry.register("active", "Requests being served", active.clone());
+        let log_dropped = Gauge::default();
+        registry.register("log_lines_dropped", "Lines over the log's bounds", log_dropped.clone());
+        Stats {
+            registry: Arc::new(registry),
+            requests,
+            sends,
+            left,
+            first_event,
+            answer,
+            tokens,
+            config_version,
+            config_rejected,
+            active,
+            log_dropped,
+        }
+    }
+
+    /// The metrics page.
+    pub fn page(&self) -> String {
+        let mut text = String::new();
+        // Writing into a string cannot fail.
+        let _ = encode(&mut text, &self.registry);
+        text
+    }
+}
