Budgets: lines renewed five times a second, shared by rate, reread when starved

Cause: a router that saw nothing free never read the ledger again (refusals for 10 s and more after others had given back), and lines left 18% of a budget in doubt after a kill of all. Ruled out: one row per router for lines (no races, but what is left becomes stale at the others).

--- a/src/allowance/account.rs
+++ b/src/allowance/account.rs
@@ -13,9 +13,21 @@
 /// partition that begins in a lull must still be outlasted.
 const RATE_KEEP_PERCENT: u64 = 85;
 /// The slope of a line against the rate of spending, in per cent: room for a rate that grows.
-const SLOPE_PERCENT: u64 = 170;
+/// All of it that was not used is in doubt after a death.
+const SLOPE_PERCENT: u64 = 125;
 /// What a line lets through at once, in ms at the rate of spending, beside what is in use.
-const BURST_MS: u64 = 700;
+const BURST_MS: u64 = 300;
+/// What a line lets through at once, in requests of mean size. Requests come in clumps; a
+/// larger one has its part fetched when it comes.
+const BURST_REQUESTS: u64 = 2;
+/// Weight of the latest request in the mean size, as a divisor.
+const MEAN_DIVISOR: u64 = 8;
+/// Part of what is left of a budget that the lines may share out, in per cent. The rest stays
+/// in the store for requests that need more than their router has.
+const SHARED_PERCENT: u64 = 85;
+/// A line that is longer than it need be by more than this part of its open length, in per
+/// cent, is cut back: the rest may be missing elsewhere.
+const EXCESS_PERCENT: u64 = 20;
 /// A request that could not be covered is still counted as demand for so long, ms.
 const DEMAND_MS: u64 = 2_000;
 
@@ -37,6 +49,8 @@
     pub expect: Ver,
     /// Our own line in it.
     pub line: Line,
+    /// What was charged when it was made.
+    pub charged: Tokens,
 }
 
 /// Settings of sizing that are derived from the deployment.
@@ -46,6 +60,8 @@
     pub horizon_ms: u64,
     /// Routers that may draw on the same budgets.
     pub routers: u64,
+    /// Least time between two writes of a line that is not urgent, ms.
+    pub renew_ms: u64,
 }
 
 /// A line that this process may follow, with the row version it was based on.
@@ -71,16 +87,17 @@
     pending: Vec<Pending>,
     settled: Tokens,
     held: Tokens,
-    /// Largest request of late.
-    largest: Tokens,
+    /// Mean size of requests at their most.
+    mean: u64,
     /// Spending, tokens a second.
     rate: u64,
     window_start: Instant,
     window_spent: u64,
     /// A request that could not be covered, and when.
     wanted: Option<(Tokens, Instant)>,
-    /// When the line in force was written.
+    /// When the line in force was written, and what was charged then.
     renewed: Instant,
+    written: Tokens,
 }
 
 impl Account {
@@ -96,12 +113,13 @@
             pending: Vec::new(),
             settled: Tokens(0),
             held: Tokens(0),
-            largest: Tokens(0),
+            mean: 0,
             rate: 0,
             window_start: now,
             window_spent: 0,
             wanted: None,
             renewed: now,
+            written: Tokens(0),
         }
     }
 
@@ -120,9 +138,21 @@
         self.settled
     }
 
-    /// The version of the ledger row that decisions rest on.
-    pub fn ver(&self) -> Ver {
-        self.ver
+    /// What a refusal rests on, for the log.
+    pub fn describe(&self, now: Instant) -> String {
+        format!(
+            "charged={} allowed={} end={} rate={} prepaid={} ledger_ver={} closed={} doubt={} settled={} free={}",
+            self.charged(),
+            self.allowed(now),
+            self.ceiling(),
+            self.demand(now),
+            self.prepaid,
+            self.ver,
+            self.ledger.closed,
+            self.ledger.doubt,
+            self.ledger.settled(),
+            self.ledger.free(self.prepaid),
+        )
     }
 
     /// What this router may have spent by now, over all lines that may be in force.
@@ -147,7 +177,8 @@
         self.roll(now);
         if self.charged().0 + most.0 <= self.allowed(now).0 {
             self.held.0 += most.0;
-            self.largest = self.largest.max(most);
+            self.mean += (most.0.max(self.mean) - self.mean) / MEAN_DIVISOR;
+            self.mean -= self.mean.saturating_sub(most.0) / MEAN_DIVISOR;
             self.window_spent += most.0;
             return Ok(());
         }
@@ -219,64 +250,77 @@
         self.known
     }
 
-    /// The entry to write next, if one is due; `seen` is the newest store time known and
-    /// `learnt` when it was.
+    /// Whether a request waits for more than this router can get by what it knows of the ledger.
+    pub fn is_starved(&self, now: Instant) -> bool {
+        let headroom = self.allowed(now).0.saturating_sub(self.charged().0);
+        self.wanted(now) > headroom
+    }
+
+    /// The entry to write next, if one is due.
     ///
-    /// A line is renewed while it is used, so that its opening part stays ahead of the spending
-    /// and what is in doubt after a death stays small, and when its end comes near.
-    pub fn plan(&self, seen: StoreMs, now: Instant, sizing: Sizing) -> Option<Plan> {
+    /// `began` is the first store time that this process learnt: whatever ran here before had
+    /// ended by then. `seen` is the newest one. A line is renewed while it is used, so that its
+    /// opening part stays ahead of the spending and what is in doubt after a death stays small.
+    pub fn plan(&self, began: StoreMs, seen: StoreMs, now: Instant, s: Sizing) -> Option<Plan> {
         if !self.known {
             return None;
         }
+        let mut ledger = self.ledger.clone();
+        ledger.close_predecessors(&self.me, began);
         let rate = self.demand(now);
         let wanted = self.wanted(now);
         let charged = self.charged().0;
-        let need = rate * sizing.horizon_ms / 1_000 + wanted;
-        let mine = self.ledger.holder(&self.me).map_or(0, |h| h.line.ceiling.0);
-        let free = self.ledger.free(self.prepaid).0;
-        let end = self.end(charged, need, wanted, mine, free, sizing);
-        let burst = self.largest.0 + rate * BURST_MS / 1_000 + wanted;
+        let slope = rate * SLOPE_PERCENT / 100;
+        let end = self.end(&ledger, rate, slope, wanted, s);
+        let burst = rate * BURST_MS / 1_000 + self.mean * BURST_REQUESTS + wanted;
         let line = Line {
             floor: Tokens((charged + burst).min(end)),
-            rate: Tokens(rate * SLOPE_PERCENT / 100),
+            rate: Tokens(slope),
             ceiling: Tokens(end),
             seen,
         };
-        let unresolved = !self.pending.is_empty();
-        if !(unresolved || self.is_due(&line, now)) {
+        if !self.is_due(&line, now, s) {
             return None;
         }
-        let mut ledger = self.ledger.clone();
-        ledger.close_predecessors(&self.me, seen);
         ledger.set(Holder { name: self.me.clone(), settled: self.settled, line });
-        Some(Plan { ledger, expect: self.ver, line })
+        Some(Plan { ledger, expect: self.ver, line, charged: Tokens(charged) })
     }
 
-    /// Where the line should end. While plenty is free, everyone gets what it asks for. Towards
-    /// the end of a budget a router takes at most its share of what is left, so that the last
-    /// tokens are not stranded with one that does not need them; but always what one request
-    /// that is waiting needs, if that much is left.
-    fn end(&self, charged: u64, need: u64, wanted: u64, mine: u64, free: u64, s: Sizing) -> u64 {
-        let reachable = free + mine;
-        let share = (reachable.saturating_sub(charged)) * 2 / (s.routers + 1);
-        let want = charged + need.min(share.max(wanted));
-        want.min(reachable).max(charged)
+    /// Where the line should end: far enough for a cut from the store, but no further than this
+    /// router's part of what is left, by the rates at which the routers spend. So the last
+    /// tokens of a budget are where they are needed, and are not stranded with one router while
+    /// another refuses. A request that waits gets what it needs if that much is free.
+    fn end(&self, ledger: &Ledger, rate: u64, slope: u64, wanted: u64, s: Sizing) -> u64 {
+        let others = || ledger.holders.iter().filter(|h| h.name != self.me);
+        let charged = self.charged().0;
+        let spent = ledger.closed.0 + others().map(|h| h.settled.0).sum::<u64>() + charged;
+        let left = self.prepaid.0.saturating_sub(spent) * SHARED_PERCENT / 100;
+        let slopes = slope + others().map(|h| h.line.rate.0).sum::<u64>();
+        let fair = match slopes {
+            0 => left / (s.routers + 1),
+            _ => (u128::from(left) * u128::from(slope) / u128::from(slopes)) as u64,
+        };
+        let want = (rate * s.horizon_ms / 1_000 + wanted).min(fair).max(wanted);
+        let mine = ledger.holder(&self.me).map_or(0, |h| h.line.ceiling.0);
+        let reachable = ledger.free(self.prepaid).0 + mine;
+        (charged + want).min(reachable).max(charged)
     }
 
-    fn is_due(&self, next: &Line, now: Instant) -> bool {
+    fn is_due(&self, next: &Line, now: Instant, s: Sizing) -> bool {
         let Some(current) = self.confirmed else {
             return next.ceiling.0 > 0 || !self.predecessors_closed();
         };
-        let headroom = self.allowed(now).0.saturating_sub(self.charged().0);
-        let wanted = self.wanted(now);
-        let short = wanted > headroom && next.ceiling > current.line.ceiling;
-        let opens = next.floor.0 > current.at(now).0;
-        let grows = next.ceiling.0 > current.line.ceiling.0 + current.line.ceiling.0 / 64;
+        if !self.pending.is_empty() {
+            return true;
+        }
+        let short = self.is_starved(now) && next.ceiling > current.line.ceiling;
+        let old = now.saturating_duration_since(self.renewed).as_millis();
+        let spends = self.charged() != self.written;
+        let open = next.ceiling.0.saturating_sub(self.charged().0);
         let excess = current.line.ceiling.0.saturating_sub(next.ceiling.0);
-        let gives_back = excess > next.ceiling.0.saturating_sub(self.charged().0);
-        let spent = self.settled > self.ledger.holder(&self.me).map_or(Tokens(0), |h| h.settled);
-        let old = now.saturating_duration_since(self.renewed).as_millis() >= 2_000;
-        short || opens || (old && (grows || gives_back || spent))
+        let gives_back = excess * 100 > open * EXCESS_PERCENT;
+        let settled = self.settled > self.ledger.holder(&self.me).map_or(Tokens(0), |h| h.settled);
+        short || (old >= u128::from(s.renew_ms) && (spends || settled || gives_back))
     }
 
     fn predecessors_closed(&self) -> bool {
@@ -298,6 +342,7 @@
     pub fn committed(&mut self, plan: &Plan, ver: Ver, now: Instant) {
         self.wanted = None;
         self.renewed = now;
+        self.written = plan.charged;
         self.observe(plan.ledger.clone(), ver);
     }
 
--- a/src/allowance/keeper.rs
+++ b/src/allowance/keeper.rs
@@ -17,9 +17,16 @@
 
 /// The table of ledgers, one row an organisation.
 const TABLE: &str = "budgets";
-/// Pause between two looks at what should be written, when nothing is urgent. The store allows
-/// several hundred writes a second for all routers; this is two for each of them.
-const TICK: Duration = Duration::from_millis(500);
+/// Pause between two looks at what should be written, for each router of the fleet, when
+/// nothing is urgent. All routers together then write about 25 times a second, however many
+/// they are: little against the store's limit of some hundred, and races stay rare.
+const TICK_PER_ROUTER: Duration = Duration::from_millis(40);
+/// Shortest and longest such pause. What is in doubt after a death grows with it.
+const TICKS: (Duration, Duration) = (Duration::from_millis(200), Duration::from_millis(2_500));
+/// Pause between two readings of all ledgers while a request waits in vain.
+const REREAD: Duration = Duration::from_millis(250);
+/// A write that is not answered after so long will not be in time for a request that waits.
+const SLOW: Duration = Duration::from_millis(40);
 /// Shortest pause between two transactions, so that many waiting requests share one.
 const GATHER: Duration = Duration::from_millis(4);
 /// Pause after a transaction that the store turned away or did not answer.
@@ -61,6 +68,13 @@
     log: Log,
     slots: RefCell<Vec<Slot>>,
     seen: Cell<Option<Seen>>,
+    /// The first store time that this process learnt.
+    began: Cell<Option<StoreMs>>,
+    /// Whether the last write failed.
+    away: Cell<bool>,
+    /// When the write that is under way was sent.
+    sent: Cell<Option<Instant>>,
+    reread: Cell<Instant>,
     routers: Cell<u64>,
     urgent: Notify,
     changed: Notify,
@@ -104,6 +118,10 @@
             log,
             slots: RefCell::default(),
             seen: Cell::new(None),
+            began: Cell::new(None),
+            away: Cell::new(false),
+            sent: Cell::new(None),
+            reread: Cell::new(Instant::now()),
             routers: Cell::new(1),
             urgent: Notify::new(),
             changed: Notify::new(),
@@ -137,6 +155,9 @@
 
     /// Notes the store time that some answer carried.
     pub fn saw(&self, at: StoreMs) {
+        if self.began.get().is_none() {
+            self.began.set(Some(at));
+        }
         if self.seen.get().is_none_or(|s| s.at < at) {
             self.seen.set(Some(Seen { at, learnt: Instant::now() }));
         }
@@ -148,14 +169,10 @@
         Some(f(&mut slots[i].account))
     }
 
-    /// One line for logs: what is charged, allowed now, and where the line ends.
+    /// What a refusal of an organisation's request rests on, for the log.
     pub fn describe(&self, org: &str) -> String {
-        let now = Instant::now();
-        let line = self.with(org, |a| {
-            let (charged, allowed, end) = (a.charged(), a.allowed(now), a.ceiling());
-            format!("charged={charged} allowed={allowed} end={end} ledger_ver={}", a.ver())
-        });
-        line.unwrap_or_else(|| "unknown_organisation".to_owned())
+        let state = self.with(org, |a| a.describe(Instant::now()));
+        state.unwrap_or_else(|| "unknown_organisation".to_owned())
     }
 
     /// Takes `most` tokens of an organisation's budget for a request. If this router has no
@@ -177,12 +194,23 @@
                 Some(Err(Denied::Spent)) => return Err(Denied::Spent),
                 Some(Err(Denied::NoneHere)) => self.urgent.notify_one(),
             }
-            if timeout_at(until, changed).await.is_err() {
+            if self.is_slow() || timeout_at(until, changed).await.is_err() {
                 return Err(Denied::NoneHere);
             }
         }
     }
 
+    /// Whether waiting for the store is in vain.
+    fn is_slow(&self) -> bool {
+        self.away.get() || self.sent.get().is_some_and(|t| t.elapsed() > SLOW)
+    }
+
+    fn tick(&self) -> Duration {
+        let (least, most) = TICKS;
+        let n = u32::try_from(self.routers.get()).unwrap_or(u32::MAX);
+        TICK_PER_ROUTER.saturating_mul(n).clamp(least, most)
+    }
+
     /// Runs until [`Keeper::stop`].
     pub async fn run(self: Rc<Self>) {
         while !self.stopped.get() {
@@ -192,9 +220,10 @@
             }
             let urgent = self.urgent.notified();
             // Either way there is something to look at.
-            let _ = timeout_at(Instant::now() + TICK, urgent).await;
+            let _ = timeout_at(Instant::now() + self.tick(), urgent).await;
             sleep(GATHER).await;
             self.write_due().await;
+            self.reread_if_starved().await;
         }
     }
 
@@ -202,6 +231,20 @@
         self.slots.borrow().iter().all(|s| s.account.is_known())
     }
 
+    /// Reads the ledgers again while a request waits and nothing seems to be free: other routers
+    /// give back what they do not need, and this one would not hear of it.
+    async fn reread_if_starved(&self) {
+        let now = Instant::now();
+        let starved = self.slots.borrow().iter().any(|s| s.account.is_starved(now));
+        if !starved || self.away.get() || now - self.reread.get() < REREAD {
+            return;
+        }
+        self.reread.set(now);
+        if self.read_all().await {
+            self.urgent.notify_one();
+        }
+    }
+
     /// Reads every ledger; a missing row is an untouched budget.
     async fn read_all(&self) -> bool {
         let page = match self.store.scan(TABLE).await {
@@ -256,12 +299,17 @@
     }
 
     fn plans(&self, seen: Seen) -> Vec<(CompactString, Plan)> {
-        let sizing = Sizing { horizon_ms: self.settings.horizon_ms, routers: self.routers.get() };
+        let sizing = Sizing {
+            horizon_ms: self.settings.horizon_ms,
+            routers: self.routers.get(),
+            renew_ms: u64::try_from(self.tick().as_millis()).unwrap_or(u64::MAX),
+        };
+        let began = self.began.get().unwrap_or(seen.at);
         let now = Instant::now();
         let slots = self.slots.borrow();
         let due = slots
             .iter()
-            .filter_map(|s| s.account.plan(seen.at, now, sizing).map(|plan| (s.org.clone(), plan)));
+            .filter_map(|s| s.account.plan(began, seen.at, now, sizing).map(|plan| (s.org.clone(), plan)));
         due.take(MAX_BATCH).collect()
     }
 
@@ -276,7 +324,10 @@
             self.with(org, |a| a.sending(plan, seen.learnt));
         }
         let sent = Instant::now();
+        self.sent.set(Some(sent));
         let outcome = self.store.commit(&tx).await;
+        self.sent.set(None);
+        self.away.set(matches!(outcome, Err(StoreError::Rejected(_) | StoreError::Unknown(_))));
         let again = self.conclude(plans, outcome, sent);
         self.changed.notify_waiters();
         if again == Again::AfterPause {
