Budgets: the opening part of a line follows the rate alone

Cause: burst and slope above the rate of spending were all in doubt after a kill. Ruled out: longer waits for a part of the budget (late refusals).

--- a/src/allowance/account.rs
+++ b/src/allowance/account.rs
@@ -14,12 +14,12 @@
 const RATE_KEEP_PERCENT: u64 = 85;
 /// The slope of a line against the rate of spending, in per cent: room for a rate that grows.
 /// All of it that was not used is in doubt after a death.
-const SLOPE_PERCENT: u64 = 125;
+const SLOPE_PERCENT: u64 = 100;
 /// What a line lets through at once, in ms at the rate of spending, beside what is in use.
-const BURST_MS: u64 = 300;
+const BURST_MS: u64 = 100;
 /// What a line lets through at once, in requests of mean size. Requests come in clumps; a
 /// larger one has its part fetched when it comes.
-const BURST_REQUESTS: u64 = 2;
+const BURST_REQUESTS: u64 = 0;
 /// Weight of the latest request in the mean size, as a divisor.
 const MEAN_DIVISOR: u64 = 8;
 /// Part of what is left of a budget that the lines may share out, in per cent. The rest stays
