Budgets: a stopping router writes no line after its farewell

Cause: the writing loop could send a plan made before the farewell; the next process then closed that line too, and what had been spent counted twice (a closed sum above prepaid, false 402 answers). Ruled out: a lowered amount (prepaid was constant in the logs).

--- a/src/allowance/keeper.rs
+++ b/src/allowance/keeper.rs
@@ -183,6 +183,9 @@
     pub async fn hold(self: &Rc<Self>, org: &str, most: Tokens) -> Result<Hold<S>, Denied> {
         let until = Instant::now() + self.settings.patience;
         loop {
+            if self.stopped.get() {
+                return Err(Denied::NoneHere);
+            }
             let changed = self.changed.notified();
             let taken = self.with(org, |a| a.hold(most, Instant::now()));
             match taken {
@@ -316,6 +319,10 @@
     /// Sends one transaction. Returns whether a race was lost and another try is worth it.
     async fn write(&self, plans: &[(CompactString, Plan)]) -> bool {
         let Some(seen) = self.seen.get() else { return false };
+        // Once this process has left the ledgers, a new line would count its spending twice.
+        if self.stopped.get() {
+            return false;
+        }
         let mut tx = Tx::default();
         for (org, plan) in plans {
             let at = RowKey::new(TABLE, org);
@@ -385,6 +392,9 @@
     /// Ends the keeper and gives back everything that is not spent. Called once nothing runs.
     pub async fn stop(&self) {
         self.stopped.set(true);
+        while self.sent.get().is_some() {
+            self.changed.notified().await;
+        }
         for _ in 0..FAREWELL_TRIES {
             let farewells: Vec<(CompactString, Ledger, Ver)> = {
                 let slots = self.slots.borrow();
