Routers tell one another where prompts go

Cause: an engine's load is what six routers send, each knew its own sixth; p95 of first tokens stood 300 to 450 ms above their prediction. Ruled out: reports of the engines (priced as probes, 200 ms old).

--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -432,6 +432,10 @@
         if self.made.runs == 1 {
             self.charge(0);
         }
+        if plan.engine {
+            let shared = super::targets::shared_parts(&self.facts.parts);
+            self.gw.hints.placed(&target, plan.prefill_ms, shared);
+        }
         let outcome = self.answer(&mut link, &bytes, plan).await;
         match outcome {
             Ok(head) => self.read_start(link.conn, head, flight).await,
--- /dev/null
+++ b/src/gateway/hints.rs
@@ -0,0 +1,142 @@
+//! Routers tell one another where they send prompts.
+//!
+//! An engine's load is what all routers sent to it, and a prompt's parts are cached where any of
+//! them sent it. Each router sends its own placements of the last moments to the others in one
+//! datagram. A datagram may be lost: what it says is worth little a second later, so nothing is
+//! sent twice and no connection is kept for it.
+
+use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+use tokio::net::UdpSocket;
+use tokio::sync::Notify;
+use tokio::time::sleep;
+
+use super::request::Part;
+use super::state::{Gateway, Platform};
+use crate::ids::Digest;
+
+/// Placements of so long go into one datagram: a wake-up costs more than the bytes.
+const GATHER: Duration = Duration::from_millis(10);
+/// Placements in one datagram, at most; 60 bytes each keep it under a usual packet.
+const MAX_PLACEMENTS: usize = 16;
+/// Routers of other zones that are told, at most. With many routers per zone, each zone's
+/// targets are used by its own routers alone, and telling all others would cost more traffic
+/// between zones than it saves.
+const MAX_FAR: usize = 12;
+/// The largest datagram that is read, in bytes.
+const MAX_DATAGRAM: usize = 2_048;
+/// Format of a datagram; others are ignored.
+const FORMAT: u8 = 1;
+
+/// One prompt on its way to a target.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct Hint {
+    /// Digest of the target's id.
+    target: u64,
+    /// Time for the part of the prompt that was not cached, ms.
+    prefill_ms: u32,
+    /// Shared parts, id and tokens.
+    parts: Vec<(u64, u32)>,
+}
+
+#[derive(Debug, Deserialize, Serialize)]
+struct Datagram {
+    format: u8,
+    hints: Vec<Hint>,
+}
+
+/// Whom to tell, and what was not told yet.
+#[derive(Debug, Default)]
+pub struct Hints {
+    waiting: RefCell<Vec<Hint>>,
+    peers: RefCell<Vec<SocketAddr>>,
+    some: Notify,
+    lost: Cell<u64>,
+}
+
+/// The digest under which routers name a target to one another.
+pub fn target_word(id: &str) -> u64 {
+    Digest::of(id.as_bytes()).word()
+}
+
+impl Hints {
+    /// Notes a placement of this router.
+    pub fn placed(&self, target: &str, prefill_ms: f64, parts: &[Part]) {
+        let mut waiting = self.waiting.borrow_mut();
+        if self.peers.borrow().is_empty() || waiting.len() >= 4 * MAX_PLACEMENTS {
+            return;
+        }
+        let parts = parts.iter().map(|p| (p.id, u32::try_from(p.tokens).unwrap_or(u32::MAX)));
+        waiting.push(Hint {
+            target: target_word(target),
+            prefill_ms: prefill_ms as u32,
+            parts: parts.collect(),
+        });
+        if waiting.len() == 1 {
+            self.some.notify_one();
+        }
+    }
+
+    /// Sets whom to tell: routers of the same zone, and those of others while they are few.
+    pub fn set_peers(&self, near: Vec<SocketAddr>, far: Vec<SocketAddr>) {
+        let far = if far.len() > MAX_FAR { Vec::new() } else { far };
+        let mut peers = near;
+        peers.extend(far);
+        peers.sort();
+        *self.peers.borrow_mut() = peers;
+    }
+
+    fn take(&self) -> Vec<u8> {
+        let mut waiting = self.waiting.borrow_mut();
+        let n = waiting.len().min(MAX_PLACEMENTS);
+        let datagram = Datagram { format: FORMAT, hints: waiting.drain(..n).collect() };
+        let mut out = Vec::with_capacity(64 * n);
+        ciborium::into_writer(&datagram, &mut out).expect("writing to memory cannot fail");
+        out
+    }
+}
+
+/// Tells the others, for ever.
+pub async fn tell<P: Platform>(gw: Rc<Gateway<P>>, socket: Rc<UdpSocket>) {
+    loop {
+        if gw.hints.waiting.borrow().is_empty() {
+            gw.hints.some.notified().await;
+        }
+        sleep(GATHER).await;
+        let bytes = gw.hints.take();
+        let peers = gw.hints.peers.borrow().clone();
+        for peer in peers {
+            // A full buffer or an unreachable peer loses a hint, which is made for that.
+            if socket.try_send_to(&bytes, peer).is_err() {
+                gw.hints.lost.set(gw.hints.lost.get() + 1);
+            }
+        }
+    }
+}
+
+/// Listens to the others, for ever.
+pub async fn listen<P: Platform>(gw: Rc<Gateway<P>>, socket: Rc<UdpSocket>) {
+    let mut buf = vec![0; MAX_DATAGRAM];
+    loop {
+        let Ok((n, from)) = socket.recv_from(&mut buf).await else { continue };
+        if !gw.hints.peers.borrow().iter().any(|p| p.ip() == from.ip()) {
+            continue;
+        }
+        let Ok(datagram) = ciborium::from_reader::<Datagram, _>(&buf[..n]) else { continue };
+        if datagram.format != FORMAT {
+            continue;
+        }
+        for hint in datagram.hints {
+            let parts: Vec<Part> = hint
+                .parts
+                .iter()
+                .map(|(id, tokens)| Part { id: *id, tokens: u64::from(*tokens) })
+                .collect();
+            gw.targets.hinted(hint.target, f64::from(hint.prefill_ms), &parts);
+        }
+    }
+}
--- a/src/gateway/members.rs
+++ b/src/gateway/members.rs
@@ -25,6 +25,7 @@
 #[derive(Clone, Debug, Deserialize, Serialize)]
 struct Entry {
     front: SocketAddr,
+    peer: SocketAddr,
     zone: CompactString,
     leaving: bool,
     /// Newest store time that the router knew when it wrote the row.
@@ -67,7 +68,7 @@
 async fn renew<P: Platform>(gw: &Gateway<P>, seen: StoreMs) -> Option<StoreMs> {
     let s = &gw.settings;
     let leaving = *gw.phase.borrow() != Phase::Up;
-    let entry = Entry { front: s.front, zone: s.zone.clone(), leaving, beat: seen };
+    let entry = Entry { front: s.front, peer: s.peer, zone: s.zone.clone(), leaving, beat: seen };
     let at = RowKey::new(TABLE, &s.instance);
     let tx = Tx { write: vec![(at, entry.encode())], ..Tx::default() };
     match gw.platform.commit(&tx).await {
@@ -94,6 +95,12 @@
         .filter(|(_, age)| *age < STALE_MS)
         .map(|(e, _)| RouterEntry { front: e.front, zone: e.zone.clone(), leaving: e.leaving })
         .collect();
+    let told = |near: bool| {
+        let zone = &gw.settings.zone;
+        let live = entries.iter().filter(|(e, age)| *age < STALE_MS && (e.zone == *zone) == near);
+        live.map(|(e, _)| e.peer).collect()
+    };
+    gw.hints.set_peers(told(true), told(false));
     let counted = 1 + entries.iter().filter(|(_, age)| *age < FORGOTTEN_MS).count();
     gw.retries.borrow_mut().set_routers(u32::try_from(counted).unwrap_or(u32::MAX));
     gw.keeper.set_routers(live.len() as u64 + 1);
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -11,6 +11,7 @@
 pub mod entry;
 pub mod forward;
 pub mod front;
+pub mod hints;
 pub mod members;
 pub mod outcome;
 pub mod place;
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -11,6 +11,7 @@
 
 use super::catalog::{Catalog, Limits};
 use super::entry::EntryView;
+use super::hints::Hints;
 use super::place::Weights;
 use super::request::Names;
 use super::retries::{RetryAllowance, RetryShares};
@@ -54,6 +55,8 @@
     pub zone: CompactString,
     /// Where callers connect.
     pub front: SocketAddr,
+    /// Where other routers send their hints.
+    pub peer: SocketAddr,
     /// The fleet's allowance of repeated sends.
     pub retries: RetryAllowance,
     /// Settings of budgets.
@@ -106,6 +109,8 @@
     pub catalog: RefCell<Option<Rc<Catalog>>>,
     /// Targets.
     pub targets: Targets,
+    /// What routers tell one another.
+    pub hints: Hints,
     /// Budgets.
     pub keeper: Rc<Keeper<P>>,
     /// Shares of the retry budget.
@@ -143,6 +148,7 @@
             stats: Stats::new(),
             catalog: RefCell::default(),
             targets: Targets::default(),
+            hints: Hints::default(),
             link: Cell::new(StoreLink { answered: None, back: None, away: true }),
             confirmed: tokio::sync::Mutex::new(None),
             phase: watch::Sender::new(Phase::Up),
--- a/src/gateway/targets.rs
+++ b/src/gateway/targets.rs
@@ -9,6 +9,7 @@
 use compact_str::CompactString;
 use tokio::time::Instant;
 
+use super::hints::target_word;
 use super::place::Candidate;
 use super::pool::Pool;
 use super::request::Part;
@@ -30,6 +31,11 @@
 const FIRST_TOKEN_MS: f64 = 12.0;
 /// Weight of a new measurement in a moving average.
 const GAIN: f64 = 0.08;
+/// A prompt that should have been read so long ago is no longer counted on: its router may have
+/// taken it back without anyone hearing of it.
+const OVERDUE: Duration = Duration::from_secs(2);
+/// Prompts that take less than this, in ms, say nothing about an engine's speed.
+const LEAST_MEASURED_MS: f64 = 20.0;
 /// How far a target's measured speed may move from the usual one, either way.
 const SPEED_RANGE: (f64, f64) = (0.25, 2.0);
 
@@ -103,12 +109,26 @@
     }
 }
 
+/// A prompt that an engine has not read yet, as far as is known.
+#[derive(Debug)]
+struct Unread {
+    number: u64,
+    prefill: Duration,
+    /// When it will be read, by the model.
+    done: Instant,
+}
+
 #[derive(Debug)]
 struct Load {
     running: u32,
-    waiting: u32,
-    /// When the engine will have read all prompts that this router sent, by the model.
+    /// Prompts on their way, in the order in which they were sent by this router and, as far as
+    /// they said so, by others.
+    unread: Vec<Unread>,
+    next_number: u64,
+    /// When the engine will have read them all, by the model.
     read_by: Instant,
+    /// Tokens of cached parts that fit.
+    cache_tokens: u64,
     /// Measured speed against the usual one.
     speed: f64,
     cache: PartCache,
@@ -117,6 +137,37 @@
     full_until: Option<Instant>,
 }
 
+impl Load {
+    /// Adds a prompt to what the engine has to read. Returns its number.
+    fn add(&mut self, prefill: Duration, now: Instant) -> u64 {
+        self.unread.retain(|u| u.done + OVERDUE > now);
+        self.read_by = self.read_by.max(now) + prefill;
+        let number = self.next_number;
+        self.next_number += 1;
+        self.unread.push(Unread { number, prefill, done: self.read_by });
+        number
+    }
+
+    /// A prompt was read just now: so were all that were sent before it, and those behind it
+    /// begin now.
+    fn read(&mut self, number: u64, now: Instant) {
+        self.unread.retain(|u| u.number > number);
+        self.read_by = now;
+        for u in &mut self.unread {
+            self.read_by += u.prefill;
+            u.done = self.read_by;
+        }
+    }
+
+    /// A prompt was taken back.
+    fn cancel(&mut self, number: u64) {
+        let Some(i) = self.unread.iter().position(|u| u.number == number) else { return };
+        let prefill = self.unread.remove(i).prefill;
+        self.read_by -= prefill;
+        self.unread[i..].iter_mut().for_each(|u| u.done -= prefill);
+    }
+}
+
 /// One target.
 #[derive(Debug)]
 pub struct Backend {
@@ -125,6 +176,8 @@
     /// Kept connections.
     pub pool: RefCell<Pool>,
     load: RefCell<Load>,
+    /// Digest of its id.
+    word: u64,
     /// Its entry is gone, though perhaps only because the store lost it.
     lapsed: Cell<bool>,
 }
@@ -133,8 +186,10 @@
     fn new(info: TargetInfo) -> Backend {
         let load = Load {
             running: 0,
-            waiting: 0,
+            unread: Vec::new(),
+            next_number: 0,
             read_by: Instant::now(),
+            cache_tokens: 0,
             speed: 1.0,
             cache: PartCache::default(),
             failures: 0,
@@ -142,6 +197,7 @@
             full_until: None,
         };
         Backend {
+            word: target_word(&info.id),
             info: RefCell::new(info),
             pool: RefCell::default(),
             load: RefCell::new(load),
@@ -198,11 +254,11 @@
 #[derive(Debug)]
 pub struct Flight {
     backend: Rc<Backend>,
-    engine: bool,
     sent: Instant,
     predicted_ms: f64,
     prefill_ms: f64,
-    waits: bool,
+    /// Its number among the unread prompts, until it is read.
+    unread: Option<u64>,
 }
 
 impl Flight {
@@ -210,20 +266,18 @@
     pub fn begin(backend: &Rc<Backend>, plan: &Planned, parts: &[Part], now: Instant) -> Flight {
         let mut load = backend.load.borrow_mut();
         load.running += 1;
-        if plan.engine {
-            load.waiting += 1;
-            let from = load.read_by.max(now);
-            load.read_by = from + Duration::from_secs_f64(plan.prefill_ms / 1_000.0);
-            load.cache.read(parts, now, plan.cache_tokens);
-        }
+        load.cache_tokens = plan.cache_tokens;
+        let unread = plan.engine.then(|| {
+            load.cache.read(shared_parts(parts), now, plan.cache_tokens);
+            load.add(Duration::from_secs_f64(plan.prefill_ms / 1_000.0), now)
+        });
         drop(load);
         Flight {
             backend: backend.clone(),
-            engine: plan.engine,
             sent: now,
             predicted_ms: plan.predicted_ms,
             prefill_ms: plan.prefill_ms,
-            waits: plan.engine,
+            unread,
         }
     }
 
@@ -241,21 +295,16 @@
     pub fn first_event(&mut self) -> Duration {
         let now = Instant::now();
         let took = now - self.sent;
-        if !std::mem::take(&mut self.waits) {
-            return took;
-        }
+        let Some(number) = self.unread.take() else { return took };
         let mut load = self.backend.load.borrow_mut();
-        load.waiting -= 1;
+        load.read(number, now);
         let measured = took.as_secs_f64() * 1_000.0 - FIRST_TOKEN_MS;
-        if self.prefill_ms > 20.0 && measured > 0.0 {
+        if self.prefill_ms > LEAST_MEASURED_MS && measured > 0.0 {
             let expected = (self.predicted_ms - FIRST_TOKEN_MS).max(1.0);
             let ratio = (expected / measured).clamp(0.5, 2.0);
             let (low, high) = SPEED_RANGE;
             load.speed = (load.speed * (1.0 + GAIN * (ratio - 1.0))).clamp(low, high);
         }
-        if load.waiting == 0 {
-            load.read_by = now;
-        }
         took
     }
 }
@@ -264,12 +313,9 @@
     fn drop(&mut self) {
         let mut load = self.backend.load.borrow_mut();
         load.running -= 1;
-        if self.waits {
-            load.waiting -= 1;
-            let left = Duration::from_secs_f64(self.prefill_ms / 1_000.0);
-            load.read_by = load.read_by.checked_sub(left).unwrap_or(load.read_by);
+        if let Some(number) = self.unread {
+            load.cancel(number);
         }
-        let _ = self.engine;
     }
 }
 
@@ -350,6 +396,20 @@
         gone
     }
 
+    /// Another router sent a prompt to the target of this digest.
+    pub fn hinted(&self, word: u64, prefill_ms: f64, parts: &[Part]) {
+        let all = self.all.borrow();
+        let Some(b) = all.iter().find(|b| b.word == word) else { return };
+        let now = Instant::now();
+        let mut load = b.load.borrow_mut();
+        load.add(Duration::from_secs_f64(prefill_ms / 1_000.0), now);
+        // Until this router has sent something itself, it does not know how much fits.
+        if load.cache_tokens > 0 {
+            let capacity = load.cache_tokens;
+            load.cache.read(parts, now, capacity);
+        }
+    }
+
     /// The ids of all targets.
     pub fn ids(&self) -> Vec<CompactString> {
         self.all.borrow().iter().map(|b| b.id()).collect()
