Budgets: mean rate for the slope, urgent lines alone, honest time to come back

Cause: the slope followed the peak of a lumpy rate; one starved organisation dragged all rows into a race.

--- a/src/allowance/account.rs
+++ b/src/allowance/account.rs
@@ -1,5 +1,7 @@
 //! What one router knows of one organisation's budget: pure decisions, no clock, no I/O.
 
+use std::time::Duration;
+
 use tokio::time::Instant;
 
 use super::ledger::{Holder, HolderName, Ledger};
@@ -12,14 +14,20 @@
 /// How much of the averaged rate is kept when it falls, per window, in per cent. Slow, because a
 /// partition that begins in a lull must still be outlasted.
 const RATE_KEEP_PERCENT: u64 = 85;
-/// The slope of a line against the rate of spending, in per cent: room for a rate that grows.
-/// All of it that was not used is in doubt after a death.
-const SLOPE_PERCENT: u64 = 100;
+/// Time constant of the mean rate, which the slope of a line follows, s. Longer than the gaps
+/// between the clumps in which requests come.
+const MEAN_RATE_S: f64 = 3.0;
+/// The slope of a line against the mean rate of spending: room for a rate that grows.
+const SLOPE: f64 = 2.0;
+/// When a line opens after it was last renewed, ms. Longer than a usual restart, so that a death
+/// while the store answers leaves nothing in doubt but the floor; as long, requests find nothing
+/// at the start of a cut from the store.
+const OPENS_MS: u64 = 0;
 /// What a line lets through at once, in ms at the rate of spending, beside what is in use.
 const BURST_MS: u64 = 100;
 /// What a line lets through at once, in requests of mean size. Requests come in clumps; a
 /// larger one has its part fetched when it comes.
-const BURST_REQUESTS: u64 = 0;
+const BURST_REQUESTS: u64 = 2;
 /// Weight of the latest request in the mean size, as a divisor.
 const MEAN_DIVISOR: u64 = 8;
 /// Part of what is left of a budget that the lines may share out, in per cent. The rest stays
@@ -93,6 +101,9 @@
     rate: u64,
     window_start: Instant,
     window_spent: u64,
+    /// Mean rate of spending, tokens a second, as of some time.
+    mean_rate: f64,
+    mean_at: Instant,
     /// A request that could not be covered, and when.
     wanted: Option<(Tokens, Instant)>,
     /// When the line in force was written, and what was charged then.
@@ -117,6 +128,8 @@
             rate: 0,
             window_start: now,
             window_spent: 0,
+            mean_rate: 0.0,
+            mean_at: now,
             wanted: None,
             renewed: now,
             written: Tokens(0),
@@ -180,6 +193,8 @@
             self.mean += (most.0.max(self.mean) - self.mean) / MEAN_DIVISOR;
             self.mean -= self.mean.saturating_sub(most.0) / MEAN_DIVISOR;
             self.window_spent += most.0;
+            self.mean_rate = self.mean_rate(now) + most.0 as f64 / MEAN_RATE_S;
+            self.mean_at = now;
             return Ok(());
         }
         self.wanted = Some((most, now));
@@ -211,6 +226,20 @@
         self.window_start = now;
     }
 
+    /// Mean spending in tokens a second.
+    fn mean_rate(&self, now: Instant) -> f64 {
+        let s = now.saturating_duration_since(self.mean_at).as_secs_f64();
+        self.mean_rate * (-s / MEAN_RATE_S).exp()
+    }
+
+    /// How long until this router may spend `most` more; none if not by what it holds now.
+    pub fn room_in(&self, most: Tokens, now: Instant) -> Option<Duration> {
+        let amount = Tokens(self.charged().0 + most.0);
+        let pending = self.pending.iter().map(|p| &p.anchored);
+        let waits = self.confirmed.iter().chain(pending).map(|a| a.reaches(amount, now));
+        waits.reduce(|a, b| Some(a?.max(b?)))?
+    }
+
     /// Spending in tokens a second, the running window included.
     fn demand(&self, now: Instant) -> u64 {
         let ms = now.saturating_duration_since(self.window_start).as_millis();
@@ -270,11 +299,17 @@
         let rate = self.demand(now);
         let wanted = self.wanted(now);
         let charged = self.charged().0;
-        let slope = rate * SLOPE_PERCENT / 100;
+        let slope = (self.mean_rate(now) * SLOPE) as u64;
         let end = self.end(&ledger, rate, slope, wanted, s);
+        // While writes are not answered, any of their lines bounds the spending: one that is
+        // shorter than the line in force would only take away what this router surely has.
+        let kept = self.confirmed.filter(|_| !self.pending.is_empty());
+        let slope = kept.map_or(slope, |k| slope.max(k.line.rate.0));
+        let end = kept.map_or(end, |k| end.max(k.line.ceiling.0));
         let burst = rate * BURST_MS / 1_000 + self.mean * BURST_REQUESTS + wanted;
         let line = Line {
             floor: Tokens((charged + burst).min(end)),
+            opens_ms: OPENS_MS,
             rate: Tokens(slope),
             ceiling: Tokens(end),
             seen,
--- a/src/allowance/keeper.rs
+++ b/src/allowance/keeper.rs
@@ -169,6 +169,11 @@
         Some(f(&mut slots[i].account))
     }
 
+    /// How long until this router may spend `most` more for an organisation, if it knows.
+    pub fn room_in(&self, org: &str, most: Tokens) -> Option<Duration> {
+        self.with(org, |a| a.room_in(most, Instant::now())).flatten()
+    }
+
     /// What a refusal of an organisation's request rests on, for the log.
     pub fn describe(&self, org: &str) -> String {
         let state = self.with(org, |a| a.describe(Instant::now()));
@@ -225,7 +230,8 @@
             // Either way there is something to look at.
             let _ = timeout_at(Instant::now() + self.tick(), urgent).await;
             sleep(GATHER).await;
-            self.write_due().await;
+            self.write_due(Only::Starved).await;
+            self.write_due(Only::Due).await;
             self.reread_if_starved().await;
         }
     }
@@ -286,10 +292,10 @@
 
     /// Writes the lines that are due, and tries again at once when a race was lost: the answer
     /// then carries the rows as they stand.
-    async fn write_due(&self) {
+    async fn write_due(&self, only: Only) {
         for _ in 0..RACES {
             let Some(seen) = self.seen.get() else { return };
-            let plans = self.plans(seen);
+            let plans = self.plans(seen, only);
             if plans.is_empty() {
                 return;
             }
@@ -301,7 +307,7 @@
         self.urgent.notify_one();
     }
 
-    fn plans(&self, seen: Seen) -> Vec<(CompactString, Plan)> {
+    fn plans(&self, seen: Seen, only: Only) -> Vec<(CompactString, Plan)> {
         let sizing = Sizing {
             horizon_ms: self.settings.horizon_ms,
             routers: self.routers.get(),
@@ -312,6 +318,7 @@
         let slots = self.slots.borrow();
         let due = slots
             .iter()
+            .filter(|s| only == Only::Due || s.account.is_starved(now))
             .filter_map(|s| s.account.plan(began, seen.at, now, sizing).map(|plan| (s.org.clone(), plan)));
         due.take(MAX_BATCH).collect()
     }
@@ -426,6 +433,14 @@
     }
 }
 
+/// Which lines go into a transaction. Those that requests wait for go alone: the fewer rows, the
+/// fewer races with other routers.
+#[derive(Clone, Copy, Eq, PartialEq)]
+enum Only {
+    Starved,
+    Due,
+}
+
 /// Whether another write should follow.
 #[derive(Clone, Copy, Eq, PartialEq)]
 enum Again {
--- a/src/allowance/line.rs
+++ b/src/allowance/line.rs
@@ -2,6 +2,7 @@
 
 use std::fmt;
 use std::str::FromStr;
+use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 use tokio::time::Instant;
@@ -37,14 +38,18 @@
 
 /// A bound on one process's total spending that opens over time.
 ///
-/// At store time `t` the process has spent at most `floor + rate × (t − seen)`, and never more
-/// than `ceiling`. The ceiling is what nobody else may use; the slope bounds what is in doubt
-/// once the process is known to have ended at some time.
+/// At store time `t` the process has spent at most `floor + rate × (t − seen − opens_ms)`, and
+/// never more than `ceiling`. The ceiling is what nobody else may use. The delay and the slope
+/// bound what is in doubt once the process is known to have ended at some time: while the store
+/// answers, a line is renewed before it opens, and a process that dies then has spent no more
+/// than the floor.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq, Deserialize, Serialize)]
 pub struct Line {
     /// May be spent at once.
     pub floor: Tokens,
-    /// Becomes available with time, tokens a second.
+    /// Time after `seen` from which more becomes available, ms.
+    pub opens_ms: u64,
+    /// Becomes available from then on, tokens a second.
     pub rate: Tokens,
     /// The end of it.
     pub ceiling: Tokens,
@@ -55,10 +60,21 @@
 
 impl Line {
     fn after(&self, ms: u64) -> Tokens {
-        let opened = self.rate.0.saturating_mul(ms) / 1_000;
+        let opened = self.rate.0.saturating_mul(ms.saturating_sub(self.opens_ms)) / 1_000;
         Tokens(self.floor.0.saturating_add(opened).min(self.ceiling.0))
     }
 
+    /// Time after `seen` at which `amount` may be spent; none if never.
+    fn reaches(&self, amount: Tokens) -> Option<u64> {
+        let missing = amount.0.saturating_sub(self.floor.0);
+        match (missing, self.rate.0) {
+            (0, _) => Some(0),
+            (_, 0) => None,
+            _ if amount > self.ceiling => None,
+            (missing, rate) => Some(self.opens_ms + missing * 1_000 / rate),
+        }
+    }
+
     /// The most that was spent by a process that ended before store time `now`.
     pub fn at(&self, now: StoreMs) -> Tokens {
         self.after(now.0.saturating_sub(self.seen.0))
@@ -79,6 +95,14 @@
 }
 
 impl Anchored {
+    /// How long it takes from local time `now` until `amount` may be spent; none if never.
+    pub fn reaches(&self, amount: Tokens, now: Instant) -> Option<Duration> {
+        let at = self.line.reaches(amount)?;
+        let slack = at * CLOCK_DRIFT_PER_MILLE / 1_000;
+        let due = self.learnt + Duration::from_millis(at + slack);
+        Some(due.saturating_duration_since(now))
+    }
+
     /// The most that may have been spent by local time `now`.
     pub fn at(&self, now: Instant) -> Tokens {
         let ms = now.saturating_duration_since(self.learnt).as_millis();
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -39,6 +39,10 @@
 /// seconds, other routers may have a part.
 const COME_BACK_BUDGET: Duration = Duration::from_millis(800);
 
+/// The longest time to come back that is named while it is not known when there is room: a cut
+/// from the store can end at any moment.
+const MOST_COME_BACK: Duration = Duration::from_secs(3);
+
 /// An answer of the router's own.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Own {
@@ -228,25 +232,25 @@
         if prepaid.and_then(|o| o.prepaid).is_none() {
             return Ok(());
         }
-        match self.gw.keeper.hold(org, most).await {
+        let keeper = &self.gw.keeper;
+        let mut taken = keeper.hold(org, most).await;
+        // The amount may have been raised a moment ago.
+        if matches!(taken, Err(Denied::Spent)) && confirm_config(self.gw).await {
+            taken = keeper.hold(org, most).await;
+            if matches!(taken, Err(Denied::Spent)) {
+                return Err(self.no_budget(org, Own::new(402, "budget_spent")));
+            }
+        }
+        match taken {
             Ok(hold) => {
                 self.hold = Some(hold);
                 Ok(())
             }
-            // The amount may have been raised a moment ago.
-            Err(Denied::Spent) if confirm_config(self.gw).await => {
-                match self.gw.keeper.hold(org, most).await {
-                    Ok(hold) => {
-                        self.hold = Some(hold);
-                        Ok(())
-                    }
-                    Err(Denied::Spent) => Err(self.no_budget(org, Own::new(402, "budget_spent"))),
-                    Err(Denied::NoneHere) => {
-                        Err(self.no_budget(org, Own::refusal("budget_not_here", COME_BACK_BUDGET)))
-                    }
-                }
+            Err(_) => {
+                let room = keeper.room_in(org, most).unwrap_or(COME_BACK_BUDGET);
+                let after = room.clamp(COME_BACK, MOST_COME_BACK);
+                Err(self.no_budget(org, Own::refusal("budget_not_here", after)))
             }
-            Err(_) => Err(self.no_budget(org, Own::refusal("budget_not_here", COME_BACK_BUDGET))),
         }
     }
 
--- a/src/gateway/place.rs
+++ b/src/gateway/place.rs
@@ -55,7 +55,7 @@
 
 impl Default for Weights {
     fn default() -> Weights {
-        Weights { far_ms: 60.0, prefill: 1.5, running_ms: 2.0, rank_ms: 6.0, late_x: 2.0 }
+        Weights { far_ms: 12.0, prefill: 1.5, running_ms: 2.0, rank_ms: 6.0, late_x: 2.0 }
     }
 }
 
