--- a/src/allowance/account.rs
+++ b/src/allowance/account.rs
@@ -17,17 +17,17 @@
 /// Time constant of the mean rate, which the slope of a line follows, s. Longer than the gaps
 /// between the clumps in which requests come.
 const MEAN_RATE_S: f64 = 3.0;
-/// The slope of a line against the mean rate of spending: room for a rate that grows.
-const SLOPE: f64 = 2.0;
-/// When a line opens after it was last renewed, ms. Longer than a usual restart, so that a death
-/// while the store answers leaves nothing in doubt but the floor; as long, requests find nothing
-/// at the start of a cut from the store.
-const OPENS_MS: u64 = 0;
+/// How generous lines are while a budget lasts long, and when it is nearly spent. What a line
+/// lets through beyond the spending is what a cut from the store does not refuse, and what a
+/// death leaves in doubt: early, refusals weigh more; late, doubt is what the organisation could
+/// still have used.
+const GENEROUS: Slack = Slack { slope: 2.5, requests: 3.0 };
+const TIGHT: Slack = Slack { slope: 1.1, requests: 0.5 };
+/// A budget lasts long if it outlasts this many of the longest cuts, and is nearly spent below
+/// the first figure.
+const LASTING: (f64, f64) = (1.5, 3.0);
 /// What a line lets through at once, in ms at the rate of spending, beside what is in use.
 const BURST_MS: u64 = 100;
-/// What a line lets through at once, in requests of mean size. Requests come in clumps; a
-/// larger one has its part fetched when it comes.
-const BURST_REQUESTS: u64 = 2;
 /// Weight of the latest request in the mean size, as a divisor.
 const MEAN_DIVISOR: u64 = 8;
 /// Part of what is left of a budget that the lines may share out, in per cent. The rest stays
@@ -61,6 +61,28 @@
     pub charged: Tokens,
 }
 
+/// What a line lets through beyond the spending.
+#[derive(Clone, Copy, Debug)]
+struct Slack {
+    /// Its slope, against the mean rate of spending.
+    slope: f64,
+    /// What it lets through at once, in requests of mean size.
+    requests: f64,
+}
+
+impl Slack {
+    /// The slack for a budget that lasts `cuts` of the longest cuts.
+    fn of(cuts: f64) -> Slack {
+        let (least, most) = LASTING;
+        let part = ((cuts - least) / (most - least)).clamp(0.0, 1.0);
+        let between = |tight: f64, generous: f64| tight + (generous - tight) * part;
+        Slack {
+            slope: between(TIGHT.slope, GENEROUS.slope),
+            requests: between(TIGHT.requests, GENEROUS.requests),
+        }
+    }
+}
+
 /// Settings of sizing that are derived from the deployment.
 #[derive(Clone, Copy, Debug)]
 pub struct Sizing {
@@ -299,17 +321,19 @@
         let rate = self.demand(now);
         let wanted = self.wanted(now);
         let charged = self.charged().0;
-        let slope = (self.mean_rate(now) * SLOPE) as u64;
-        let end = self.end(&ledger, rate, slope, wanted, s);
+        let mean_rate = self.mean_rate(now) as u64;
+        let slack = Slack::of(self.lasting(&ledger, mean_rate, s));
+        let slope = (mean_rate as f64 * slack.slope) as u64;
+        let end = self.end(&ledger, rate, mean_rate, wanted, s);
         // While writes are not answered, any of their lines bounds the spending: one that is
         // shorter than the line in force would only take away what this router surely has.
         let kept = self.confirmed.filter(|_| !self.pending.is_empty());
         let slope = kept.map_or(slope, |k| slope.max(k.line.rate.0));
         let end = kept.map_or(end, |k| end.max(k.line.ceiling.0));
-        let burst = rate * BURST_MS / 1_000 + self.mean * BURST_REQUESTS + wanted;
+        let clump = (self.mean as f64 * slack.requests) as u64;
+        let burst = rate * BURST_MS / 1_000 + clump + wanted;
         let line = Line {
             floor: Tokens((charged + burst).min(end)),
-            opens_ms: OPENS_MS,
             rate: Tokens(slope),
             ceiling: Tokens(end),
             seen,
@@ -317,7 +341,8 @@
         if !self.is_due(&line, now, s) {
             return None;
         }
-        ledger.set(Holder { name: self.me.clone(), settled: self.settled, line });
+        let rate = Tokens(mean_rate);
+        ledger.set(Holder { name: self.me.clone(), settled: self.settled, rate, line });
         Some(Plan { ledger, expect: self.ver, line, charged: Tokens(charged) })
     }
 
@@ -325,15 +350,12 @@
     /// router's part of what is left, by the rates at which the routers spend. So the last
     /// tokens of a budget are where they are needed, and are not stranded with one router while
     /// another refuses. A request that waits gets what it needs if that much is free.
-    fn end(&self, ledger: &Ledger, rate: u64, slope: u64, wanted: u64, s: Sizing) -> u64 {
-        let others = || ledger.holders.iter().filter(|h| h.name != self.me);
+    fn end(&self, ledger: &Ledger, rate: u64, mean_rate: u64, wanted: u64, s: Sizing) -> u64 {
         let charged = self.charged().0;
-        let spent = ledger.closed.0 + others().map(|h| h.settled.0).sum::<u64>() + charged;
-        let left = self.prepaid.0.saturating_sub(spent) * SHARED_PERCENT / 100;
-        let slopes = slope + others().map(|h| h.line.rate.0).sum::<u64>();
-        let fair = match slopes {
+        let left = self.left(ledger) * SHARED_PERCENT / 100;
+        let fair = match self.fleet_rate(ledger, mean_rate) {
             0 => left / (s.routers + 1),
-            _ => (u128::from(left) * u128::from(slope) / u128::from(slopes)) as u64,
+            all => (u128::from(left) * u128::from(mean_rate) / u128::from(all)) as u64,
         };
         let want = (rate * s.horizon_ms / 1_000 + wanted).min(fair).max(wanted);
         let mine = ledger.holder(&self.me).map_or(0, |h| h.line.ceiling.0);
@@ -341,6 +363,24 @@
         (charged + want).min(reachable).max(charged)
     }
 
+    /// What no router has spent yet, as far as is known.
+    fn left(&self, ledger: &Ledger) -> u64 {
+        let others = ledger.holders.iter().filter(|h| h.name != self.me);
+        let spent = ledger.closed.0 + others.map(|h| h.settled.0).sum::<u64>() + self.charged().0;
+        self.prepaid.0.saturating_sub(spent)
+    }
+
+    fn fleet_rate(&self, ledger: &Ledger, mean_rate: u64) -> u64 {
+        let others = ledger.holders.iter().filter(|h| h.name != self.me);
+        mean_rate + others.map(|h| h.rate.0).sum::<u64>()
+    }
+
+    /// How many of the longest cuts the budget outlasts at the rate of all routers.
+    fn lasting(&self, ledger: &Ledger, mean_rate: u64, s: Sizing) -> f64 {
+        let per_cut = self.fleet_rate(ledger, mean_rate) as f64 * s.horizon_ms as f64 / 1_000.0;
+        if per_cut > 0.0 { self.left(ledger) as f64 / per_cut } else { f64::INFINITY }
+    }
+
     fn is_due(&self, next: &Line, now: Instant, s: Sizing) -> bool {
         let Some(current) = self.confirmed else {
             return next.ceiling.0 > 0 || !self.predecessors_closed();
--- a/src/allowance/keeper.rs
+++ b/src/allowance/keeper.rs
@@ -316,10 +316,10 @@
         let began = self.began.get().unwrap_or(seen.at);
         let now = Instant::now();
         let slots = self.slots.borrow();
-        let due = slots
-            .iter()
-            .filter(|s| only == Only::Due || s.account.is_starved(now))
-            .filter_map(|s| s.account.plan(began, seen.at, now, sizing).map(|plan| (s.org.clone(), plan)));
+        let due =
+            slots.iter().filter(|s| only == Only::Due || s.account.is_starved(now)).filter_map(
+                |s| s.account.plan(began, seen.at, now, sizing).map(|plan| (s.org.clone(), plan)),
+            );
         due.take(MAX_BATCH).collect()
     }
 
--- a/src/allowance/ledger.rs
+++ b/src/allowance/ledger.rs
@@ -35,6 +35,8 @@
     pub name: HolderName,
     /// What it has surely spent so far.
     pub settled: Tokens,
+    /// Its mean rate of spending, tokens a second.
+    pub rate: Tokens,
     /// The most it may have spent.
     pub line: Line,
 }
--- a/src/allowance/line.rs
+++ b/src/allowance/line.rs
@@ -38,18 +38,14 @@
 
 /// A bound on one process's total spending that opens over time.
 ///
-/// At store time `t` the process has spent at most `floor + rate × (t − seen − opens_ms)`, and
-/// never more than `ceiling`. The ceiling is what nobody else may use. The delay and the slope
-/// bound what is in doubt once the process is known to have ended at some time: while the store
-/// answers, a line is renewed before it opens, and a process that dies then has spent no more
-/// than the floor.
+/// At store time `t` the process has spent at most `floor + rate × (t − seen)`, and never more
+/// than `ceiling`. The ceiling is what nobody else may use; the slope bounds what is in doubt
+/// once the process is known to have ended at some time.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq, Deserialize, Serialize)]
 pub struct Line {
     /// May be spent at once.
     pub floor: Tokens,
-    /// Time after `seen` from which more becomes available, ms.
-    pub opens_ms: u64,
-    /// Becomes available from then on, tokens a second.
+    /// Becomes available with time, tokens a second.
     pub rate: Tokens,
     /// The end of it.
     pub ceiling: Tokens,
@@ -60,7 +56,7 @@
 
 impl Line {
     fn after(&self, ms: u64) -> Tokens {
-        let opened = self.rate.0.saturating_mul(ms.saturating_sub(self.opens_ms)) / 1_000;
+        let opened = self.rate.0.saturating_mul(ms) / 1_000;
         Tokens(self.floor.0.saturating_add(opened).min(self.ceiling.0))
     }
 
@@ -71,7 +67,7 @@
             (0, _) => Some(0),
             (_, 0) => None,
             _ if amount > self.ceiling => None,
-            (missing, rate) => Some(self.opens_ms + missing * 1_000 / rate),
+            (missing, rate) => Some(missing * 1_000 / rate),
         }
     }
 
