--- a/src/allowance/account.rs
+++ b/src/allowance/account.rs
@@ -21,7 +21,7 @@
 /// lets through beyond the spending is what a cut from the store does not refuse, and what a
 /// death leaves in doubt: early, refusals weigh more; late, doubt is what the organisation could
 /// still have used.
-const GENEROUS: Slack = Slack { slope: 2.5, requests: 3.0 };
+const GENEROUS: Slack = Slack { slope: 1.5, requests: 4.0 };
 const TIGHT: Slack = Slack { slope: 1.1, requests: 0.5 };
 /// A budget lasts long if it outlasts this many of the longest cuts, and is nearly spent below
 /// the first figure.
@@ -324,14 +324,15 @@
         let mean_rate = self.mean_rate(now) as u64;
         let slack = Slack::of(self.lasting(&ledger, mean_rate, s));
         let slope = (mean_rate as f64 * slack.slope) as u64;
-        let end = self.end(&ledger, rate, mean_rate, wanted, s);
+        let clump = (self.mean as f64 * slack.requests) as u64;
+        let burst = rate * BURST_MS / 1_000 + clump + wanted;
+        let reach = burst + slope * s.horizon_ms / 1_000;
+        let end = self.end(&ledger, reach, mean_rate, wanted, s);
         // While writes are not answered, any of their lines bounds the spending: one that is
         // shorter than the line in force would only take away what this router surely has.
         let kept = self.confirmed.filter(|_| !self.pending.is_empty());
         let slope = kept.map_or(slope, |k| slope.max(k.line.rate.0));
         let end = kept.map_or(end, |k| end.max(k.line.ceiling.0));
-        let clump = (self.mean as f64 * slack.requests) as u64;
-        let burst = rate * BURST_MS / 1_000 + clump + wanted;
         let line = Line {
             floor: Tokens((charged + burst).min(end)),
             rate: Tokens(slope),
@@ -350,14 +351,14 @@
     /// router's part of what is left, by the rates at which the routers spend. So the last
     /// tokens of a budget are where they are needed, and are not stranded with one router while
     /// another refuses. A request that waits gets what it needs if that much is free.
-    fn end(&self, ledger: &Ledger, rate: u64, mean_rate: u64, wanted: u64, s: Sizing) -> u64 {
+    fn end(&self, ledger: &Ledger, reach: u64, mean_rate: u64, wanted: u64, s: Sizing) -> u64 {
         let charged = self.charged().0;
         let left = self.left(ledger) * SHARED_PERCENT / 100;
         let fair = match self.fleet_rate(ledger, mean_rate) {
             0 => left / (s.routers + 1),
             all => (u128::from(left) * u128::from(mean_rate) / u128::from(all)) as u64,
         };
-        let want = (rate * s.horizon_ms / 1_000 + wanted).min(fair).max(wanted);
+        let want = (reach + wanted).min(fair).max(wanted);
         let mine = ledger.holder(&self.me).map_or(0, |h| h.line.ceiling.0);
         let reachable = ledger.free(self.prepaid).0 + mine;
         (charged + want).min(reachable).max(charged)
