Stand-ins for the gateway, and its tests end to end

The table service's module is named table, so that platform/ alone is the platform; one Tokens type.

--- a/src/allowance/account.rs
+++ b/src/allowance/account.rs
@@ -5,7 +5,8 @@
 use tokio::time::Instant;
 
 use super::ledger::{Holder, HolderName, Ledger};
-use super::line::{Anchored, Line, Tokens};
+use super::line::{Anchored, Line};
+use crate::ids::Tokens;
 use crate::rows::{StoreMs, Ver};
 
 /// Time over which the rate of spending is averaged, ms. Short, because an organisation can
--- a/src/allowance/keeper.rs
+++ b/src/allowance/keeper.rs
@@ -11,7 +11,7 @@
 
 use super::account::{Account, Denied, Plan, Sizing};
 use super::ledger::{HolderName, Ledger};
-use super::line::Tokens;
+use crate::ids::Tokens;
 use crate::oplog::Log;
 use crate::rows::{Row, RowKey, RowStore, StoreError, StoreMs, Tx, Ver};
 
--- a/src/allowance/ledger.rs
+++ b/src/allowance/ledger.rs
@@ -5,8 +5,9 @@
 use compact_str::CompactString;
 use serde::{Deserialize, Serialize};
 
-use super::line::{Line, Tokens};
+use super::line::Line;
 use crate::error::{Error, Kind, Result};
+use crate::ids::Tokens;
 use crate::rows::StoreMs;
 
 /// Format of the row; a newer one is not touched.
--- a/src/allowance/line.rs
+++ b/src/allowance/line.rs
@@ -1,41 +1,17 @@
 //! The most that a router may have spent, as a function of the store's clock.
 
-use std::fmt;
-use std::str::FromStr;
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 use tokio::time::Instant;
 
-use crate::error::{Error, Kind};
+use crate::ids::Tokens;
 use crate::rows::StoreMs;
 
 /// How much slower than the local clock a line is followed, in per mille: room for two steady
 /// clocks that do not run alike.
 const CLOCK_DRIFT_PER_MILLE: u64 = 10;
 
-/// An amount of tokens.
-#[derive(
-    Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd, Deserialize, Serialize,
-)]
-#[serde(transparent)]
-pub struct Tokens(pub u64);
-
-impl fmt::Display for Tokens {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{}", self.0)
-    }
-}
-
-impl FromStr for Tokens {
-    type Err = Error;
-
-    fn from_str(s: &str) -> Result<Tokens, Error> {
-        let n = s.trim().parse().map_err(|_| Error::new(Kind::BadRequest, "not a token count"))?;
-        Ok(Tokens(n))
-    }
-}
-
 /// A bound on one process's total spending that opens over time.
 ///
 /// At store time `t` the process has spent at most `floor + rate × (t − seen)`, and never more
--- a/src/allowance/mod.rs
+++ b/src/allowance/mod.rs
@@ -14,4 +14,4 @@
 pub use account::{Account, Denied, Plan, Sizing};
 pub use keeper::{Hold, Keeper, KeeperSettings};
 pub use ledger::{Holder, HolderName, Ledger};
-pub use line::{Anchored, Line, Tokens};
+pub use line::{Anchored, Line};
--- a/src/api/chat.rs
+++ b/src/api/chat.rs
@@ -19,11 +19,11 @@
 use crate::error::{Error, Kind, Result};
 use crate::ids::{BudgetId, Digest, RequestKey, ServiceId, Tokens};
 use crate::membership::wire::Mesh;
-use crate::platform::Platform;
 use crate::request::runs::{End, Run};
 use crate::router::drive::{Job, open_run};
 use crate::router::gates::Visitor;
 use crate::router::node::{Counts, Node};
+use crate::table::Platform;
 
 /// A chat request. Fields that are not known are ignored, as callers' libraries send many.
 #[derive(Clone, Debug, Deserialize)]
--- a/src/api/entry.rs
+++ b/src/api/entry.rs
@@ -12,8 +12,8 @@
 use crate::ids::ZoneId;
 use crate::membership::entry::answer;
 use crate::membership::wire::Mesh;
-use crate::platform::Platform;
 use crate::router::node::Node;
+use crate::table::Platform;
 
 /// The caller's place.
 #[derive(Debug, Deserialize)]
--- a/src/api/mod.rs
+++ b/src/api/mod.rs
@@ -22,8 +22,8 @@
 use crate::error::{Error, Kind, NotRun, Result};
 use crate::ids::RequestKey;
 use crate::membership::wire::Mesh;
-use crate::platform::Platform;
 use crate::router::node::Node;
+use crate::table::Platform;
 
 /// Bytes of a request body at most.
 pub const MAX_BODY: usize = 4 << 20;
--- a/src/api/operator.rs
+++ b/src/api/operator.rs
@@ -17,9 +17,9 @@
 use crate::error::{Error, Kind, Result};
 use crate::ids::{BudgetId, Digest, Incarnation, Revision, Tokens};
 use crate::membership::wire::Mesh;
-use crate::platform::{Platform, RowKey};
 use crate::router::node::Node;
 use crate::router::tasks::{publish_revision, read_holders};
+use crate::table::{Platform, RowKey};
 
 fn check_operator<P: Platform, E: Engine, M: Mesh>(
     node: &Node<P, E, M>,
--- a/src/api/service.rs
+++ b/src/api/service.rs
@@ -16,11 +16,11 @@
 use crate::error::{Error, Kind, Result};
 use crate::ids::{Digest, ServiceId};
 use crate::membership::wire::Mesh;
-use crate::platform::Platform;
 use crate::request::life::Repeatable;
 use crate::request::runs::{End, Run};
 use crate::router::drive_call::{CallJob, open_call};
 use crate::router::node::{Counts, Node};
+use crate::table::Platform;
 
 /// Handles a call.
 pub async fn call<P: Platform, E: Engine, M: Mesh>(
--- a/src/audit.rs
+++ b/src/audit.rs
@@ -10,7 +10,7 @@
 use crate::error::Result;
 use crate::ids::Tokens;
 use crate::load::Record;
-use crate::platform::{Table, read_one, scan_all};
+use crate::table::{Table, read_one, scan_all};
 
 /// What was found.
 #[derive(Clone, Debug, Default, Eq, PartialEq, Serialize)]
--- a/src/budget/holder.rs
+++ b/src/budget/holder.rs
@@ -6,7 +6,7 @@
 use super::sizing::{Need, Rate, Sizing};
 use crate::error::Kind;
 use crate::ids::{BudgetId, Millis, Revision, Tokens};
-use crate::platform::Version;
+use crate::table::Version;
 
 /// Bills that wait to be recorded, at most. Past that nothing is admitted: a bill is never
 /// dropped, so the queue has to be bounded at its entrance.
--- a/src/budget/keeper.rs
+++ b/src/budget/keeper.rs
@@ -18,8 +18,8 @@
 use crate::config::Config;
 use crate::error::{Error, Kind, Result};
 use crate::ids::{BudgetId, Incarnation, Millis, Tokens};
-use crate::platform::committer::Committer;
-use crate::platform::{Row, RowKey, Table, Version};
+use crate::table::committer::Committer;
+use crate::table::{Row, RowKey, Table, Version};
 
 /// Pause between looks at idle grants.
 const TICK: Duration = Duration::from_millis(250);
--- a/src/budget/ledger.rs
+++ b/src/budget/ledger.rs
@@ -6,7 +6,7 @@
 use crate::ids::{
     BudgetId, Digest, Incarnation, OrganisationId, RequestKey, Revision, RunId, Tokens, ZoneId,
 };
-use crate::platform::{Mutation, RowKey, Version};
+use crate::table::{Mutation, RowKey, Version};
 
 /// What is out of one budget.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq, Deserialize, Serialize)]
--- a/src/budget/reclaim.rs
+++ b/src/budget/reclaim.rs
@@ -14,8 +14,8 @@
 use crate::engine::{Cancelled, Engine, Parts, Piece, RunUsage};
 use crate::error::{Error, Kind, Result};
 use crate::ids::{BudgetId, Incarnation, RunId, TargetId, Tokens};
-use crate::platform::committer::Committer;
-use crate::platform::{Mutation, Table, read_one, scan_all};
+use crate::table::committer::Committer;
+use crate::table::{Mutation, Table, read_one, scan_all};
 
 /// Pause between attempts to learn what became of a run.
 const ASK_PAUSE: Duration = Duration::from_millis(500);
--- a/src/cmd/standin.rs
+++ b/src/cmd/standin.rs
@@ -9,12 +9,12 @@
 use super::{block_on, stopped};
 use crate::error::{Error, Kind, Result};
 use crate::ids::{Millis, ZoneId};
-use crate::platform::memory::Memory;
-use crate::platform::{Instance, InstanceState};
 use crate::standin::Served;
 use crate::standin::batch::BatchSize;
 use crate::standin::platform::{PlatformLimits, platform_app};
 use crate::standin::target::{Target, TargetSetup};
+use crate::table::memory::Memory;
+use crate::table::{Instance, InstanceState};
 
 /// Attempts to be listed at the platform.
 const LIST_ATTEMPTS: u32 = 20;
--- a/src/config/store.rs
+++ b/src/config/store.rs
@@ -11,7 +11,7 @@
 use crate::budget::ledger::{BudgetRow, Seen, budget_key};
 use crate::error::{Error, Kind, Result};
 use crate::ids::{Digest, Revision};
-use crate::platform::{Mutation, Outcome, Platform, Row, RowKey, Table, Txn, Version, read_one};
+use crate::table::{Mutation, Outcome, Platform, Row, RowKey, Table, Txn, Version, read_one};
 
 /// Row of the newest revision.
 const HEAD: &str = "config/head";
--- a/src/experiment/budget.rs
+++ b/src/experiment/budget.rs
@@ -14,9 +14,9 @@
 use crate::budget::sizing::Sizing;
 use crate::error::{Kind, Result};
 use crate::ids::{BudgetId, Digest, OrganisationId, Tokens, ZoneId};
-use crate::platform::memory::Faults;
-use crate::platform::{read_one, scan_all};
 use crate::standin::local_fleet::{LocalCaller, LocalFleet, LocalRequest, Setup};
+use crate::table::memory::Faults;
+use crate::table::{read_one, scan_all};
 
 /// Organisations in every workload.
 const ORGANISATIONS: usize = 10;
--- a/src/experiment/capacity.rs
+++ b/src/experiment/capacity.rs
@@ -21,10 +21,10 @@
 use crate::membership::frame::encode;
 use crate::membership::view::{Entry, View};
 use crate::membership::wire::Ask;
-use crate::platform::committer::Committer;
-use crate::platform::memory::Memory;
-use crate::platform::{Mutation, Table, Txn};
 use crate::route::picker::{Listed, Picker, Policy};
+use crate::table::committer::Committer;
+use crate::table::memory::Memory;
+use crate::table::{Mutation, Table, Txn};
 
 /// One measured point.
 #[derive(Clone, Debug, Serialize)]
@@ -203,7 +203,7 @@
         table: memory.clone(),
         committer: Committer::start(memory, &incarnation, Duration::from_millis(5)),
         incarnation,
-        version: crate::platform::Version(1),
+        version: crate::table::Version(1),
         cfg,
         clock: Clock::start(),
         out: Nowhere,
--- a/src/gateway/catalog.rs
+++ b/src/gateway/catalog.rs
@@ -4,7 +4,7 @@
 
 use compact_str::CompactString;
 
-use crate::allowance::Tokens;
+use crate::ids::Tokens;
 
 /// What may be repeated of a route's requests.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -18,8 +18,9 @@
 use super::stats::sent;
 use super::sync::confirm_config;
 use super::targets::{Backend, Flight, PlaceRequest, Planned};
-use crate::allowance::{Denied, Hold, Tokens};
+use crate::allowance::{Denied, Hold};
 use crate::http1::{Conn, Decoder, HeadError, RequestHead, ResponseHead, header};
+use crate::ids::Tokens;
 
 /// The longest response head that is accepted, in bytes.
 const MAX_RESPONSE_HEAD: usize = 32 * 1024;
--- a/src/router/boot.rs
+++ b/src/router/boot.rs
@@ -24,8 +24,8 @@
 use crate::ids::{Digest, Incarnation};
 use crate::membership::view::{Entry, View};
 use crate::membership::wire::Mesh;
-use crate::platform::Platform;
 use crate::route::picker::{Picker, Policy};
+use crate::table::Platform;
 
 /// Pause between attempts to reach the platform.
 const PAUSE: Duration = Duration::from_millis(500);
--- a/src/router/drive.rs
+++ b/src/router/drive.rs
@@ -16,11 +16,11 @@
 use crate::ids::{Digest, OrganisationId, RequestKey, RunId, TargetId, Tokens};
 use crate::membership::view::Entry;
 use crate::membership::wire::{Ask, Found, Mesh, Reply};
-use crate::platform::Platform;
 use crate::request::answer::Taken;
 use crate::request::life::{Next, Repeatable, Stage, after_failure};
 use crate::request::runs::{End, Lookup, Run};
 use crate::route::picker::Choice;
+use crate::table::Platform;
 
 /// Attempts of one request at most, resumptions at the same target not counted.
 pub const MAX_ATTEMPTS: usize = 5;
--- a/src/router/drive_call.rs
+++ b/src/router/drive_call.rs
@@ -16,10 +16,10 @@
 use crate::error::{Error, Kind, Result};
 use crate::ids::{Digest, Incarnation, RunId, TargetId, Tokens};
 use crate::membership::wire::Mesh;
-use crate::platform::{Mutation, Platform, RowKey, Version, read_one};
 use crate::request::life::{Next, Repeatable, Stage, after_failure};
 use crate::request::runs::{End, Lookup, Run};
 use crate::route::picker::Choice;
+use crate::table::{Mutation, Platform, RowKey, Version, read_one};
 
 /// Bytes of an answer that the claim's row keeps for replays.
 const MAX_KEPT: usize = 16 * 1024;
--- a/src/router/node.rs
+++ b/src/router/node.rs
@@ -20,10 +20,10 @@
 use crate::membership::entry::home;
 use crate::membership::view::{Entry, View};
 use crate::membership::wire::{Ask, Found, Mesh, Reply};
-use crate::platform::Platform;
 use crate::request::runs::Runs;
 use crate::route::picker::Picker;
 use crate::route::retry::RetryBudget;
+use crate::table::Platform;
 
 /// Target addresses out of the picker.
 #[derive(Clone, Debug)]
--- a/src/router/peers.rs
+++ b/src/router/peers.rs
@@ -9,8 +9,8 @@
 use crate::ids::{OrganisationId, RequestKey, Revision, Tokens};
 use crate::membership::link::Answerer;
 use crate::membership::wire::{Ask, Found, Mesh, Reply};
-use crate::platform::Platform;
 use crate::request::runs::{End, Run};
+use crate::table::Platform;
 
 /// Answers questions about a node.
 pub struct PeerAnswers<P: Platform, E: Engine, M: Mesh> {
--- a/src/router/session.rs
+++ b/src/router/session.rs
@@ -23,8 +23,8 @@
 use crate::ids::{BudgetId, Incarnation, RunId, Tokens};
 use crate::membership::view::Entry;
 use crate::membership::wire::{Ask, Mesh, Reply};
-use crate::platform::committer::Committer;
-use crate::platform::{Mutation, Platform, Version};
+use crate::table::committer::Committer;
+use crate::table::{Mutation, Platform, Version};
 
 /// How long a request waits for a grant before other routers are asked.
 const PATIENCE: Duration = Duration::from_millis(1_000);
--- a/src/router/start.rs
+++ b/src/router/start.rs
@@ -15,9 +15,9 @@
 use crate::engine::http::HttpEngine;
 use crate::error::Result;
 use crate::membership::link::{LinkCounts, Links, Secrets, listen};
-use crate::platform::http::HttpPlatform;
 use crate::route::picker::Policy;
 use crate::standin::Served;
+use crate::table::http::HttpPlatform;
 
 /// Pause between looks at what still runs during a drain.
 const DRAIN_PAUSE: Duration = Duration::from_millis(100);
--- a/src/router/tasks.rs
+++ b/src/router/tasks.rs
@@ -20,8 +20,8 @@
 use crate::membership::entry::{backup, witness};
 use crate::membership::view::Entry;
 use crate::membership::wire::{Ask, Mesh, Reply};
-use crate::platform::{InstanceState, Platform, scan_all};
 use crate::route::picker::Listed;
+use crate::table::{InstanceState, Platform, scan_all};
 
 /// Others that get each heartbeat besides the witness.
 const FANOUT: usize = 3;
--- a/src/standin/fleet.rs
+++ b/src/standin/fleet.rs
@@ -17,9 +17,9 @@
 use crate::error::Result;
 use crate::ids::{Digest, Millis, Revision, ZoneId};
 use crate::operator::Operator;
-use crate::platform::memory::Memory;
-use crate::platform::{Instance, InstanceState};
 use crate::router::start::RunningRouter;
+use crate::table::memory::Memory;
+use crate::table::{Instance, InstanceState};
 
 /// The operator key of fleets in one process.
 pub const OPERATOR_KEY: &str = "operator";
--- a/src/standin/local.rs
+++ b/src/standin/local.rs
@@ -21,11 +21,9 @@
 use crate::membership::link::Answerer;
 use crate::membership::view::Entry;
 use crate::membership::wire::{Ask, Mesh, Reply};
-use crate::platform::memory::Memory;
-use crate::platform::{
-    Instance, InstanceState, Instances, Objects, Outcome, Row, RowKey, Table, Txn,
-};
 use crate::router::peers::PeerAnswers;
+use crate::table::memory::Memory;
+use crate::table::{Instance, InstanceState, Instances, Objects, Outcome, Row, RowKey, Table, Txn};
 
 /// One way between routers, and to targets.
 const HOP: Duration = Duration::from_micros(500);
--- a/src/standin/mod.rs
+++ b/src/standin/mod.rs
@@ -3,6 +3,7 @@
 
 pub mod batch;
 pub mod fleet;
+pub mod gateway;
 pub mod local;
 pub mod local_fleet;
 pub mod platform;
--- a/src/standin/platform.rs
+++ b/src/standin/platform.rs
@@ -13,8 +13,8 @@
 use tokio::time::{Instant, sleep};
 
 use crate::error::{Error, Kind};
-use crate::platform::memory::{Faults, Memory};
-use crate::platform::{Instance, Instances, Objects, RowKey, Table, Txn};
+use crate::table::memory::{Faults, Memory};
+use crate::table::{Instance, Instances, Objects, RowKey, Table, Txn};
 
 /// How the stand-in misbehaves; the body of `POST /admin/faults`.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq, Deserialize, Serialize)]
--- /dev/null
+++ b/tests/gatedir.rs
@@ -0,0 +1,285 @@
+//! A small fleet of gateways on stand-ins, with callers that see every byte.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use kingcupwall::gateway::catalog::{Engine, Share};
+use kingcupwall::gateway::{
+    CatalogParts, Gateway, Limits, Organisation, Route, RouteKind, Service, front, members, sync,
+};
+use kingcupwall::http1::{Conn, ResponseHead, header};
+use kingcupwall::ids::Tokens;
+use kingcupwall::oplog::Log;
+use kingcupwall::standin::gateway::{LocalPlatform, StandinTarget, process, settings};
+use tokio::net::TcpListener;
+use tokio::task::{JoinHandle, LocalSet, spawn_local};
+
+/// Runs a test on one thread with local tasks, as the daemon does.
+pub fn local(test: impl Future<Output = ()>) {
+    let rt = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    LocalSet::new().block_on(&rt, test);
+}
+
+/// A route of the only host.
+pub fn route(prefix: &str, kind: RouteKind, max_attempts: u32) -> Route {
+    Route {
+        name: prefix.trim_matches('/').into(),
+        host: "shop.example".into(),
+        prefix: prefix.into(),
+        kind,
+        timeout: Duration::from_secs(5),
+        aim: Duration::from_millis(400),
+        gap_aim: Duration::from_millis(200),
+        priority: 1,
+        max_attempts,
+        public: false,
+        shares: vec![Share { service: "model".into(), weight: 1 }],
+    }
+}
+
+/// The usual configuration: four kinds of routes, one organisation with `prepaid` tokens.
+pub fn parts(version: u64, prepaid: u64) -> CatalogParts {
+    CatalogParts {
+        version,
+        routes: vec![
+            route("/safe/", RouteKind::Idempotent, 2),
+            route("/once/", RouteKind::NonIdempotent, 1),
+            route("/stream/", RouteKind::Stream, 1),
+            route("/resumable/", RouteKind::ResumableStream, 2),
+        ],
+        services: vec![Service {
+            name: "model".into(),
+            max_connections: 100,
+            engine: Some(Engine { slots: 8, kv_capacity: 100_000, tokens_per_event: 2 }),
+        }],
+        limits: Limits::default(),
+        organisations: Some(vec![Organisation {
+            name: "norte".into(),
+            keys: vec!["key-norte".into()],
+            priority: None,
+            prepaid: Some(Tokens(prepaid)),
+        }]),
+    }
+}
+
+/// One router of the fleet.
+pub struct Router {
+    /// Where callers connect.
+    pub front: SocketAddr,
+    /// Its state.
+    pub gw: Rc<Gateway<LocalPlatform>>,
+    /// Its handle of the platform, to inject faults.
+    pub platform: LocalPlatform,
+    /// Its log.
+    pub log: Log,
+    tasks: Vec<JoinHandle<()>>,
+}
+
+impl Router {
+    /// Starts a router as the process `incarnation` of `instance`.
+    pub async fn start(platform: &LocalPlatform, instance: &str, incarnation: u64) -> Router {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let front = listener.local_addr().unwrap();
+        let platform = platform.another();
+        let log = Log::new();
+        let me = process(instance, incarnation);
+        let settings = settings(instance, "zone-1", front);
+        let gw = Gateway::new(platform.clone(), settings, me, log.clone());
+        let tasks = vec![
+            spawn_local(sync::follow_config(gw.clone())),
+            spawn_local(sync::follow_targets(gw.clone())),
+            spawn_local(members::run(gw.clone())),
+            spawn_local(gw.keeper.clone().run()),
+            spawn_local(front::accept(gw.clone(), listener)),
+        ];
+        let router = Router { front, gw, platform, log, tasks };
+        while !router.is_up() {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+        router
+    }
+
+    fn is_up(&self) -> bool {
+        self.gw.is_ready() && self.gw.targets.count().1 > 0
+    }
+
+    /// Ends it as a kill would: nothing is written any more.
+    pub fn kill(self) {
+        self.tasks.iter().for_each(JoinHandle::abort);
+    }
+}
+
+/// A store, its targets and one router.
+pub struct Fleet {
+    /// The platform as its operator uses it.
+    pub platform: LocalPlatform,
+    /// Targets, all of one service.
+    pub targets: Vec<StandinTarget>,
+    /// The first router.
+    pub router: Router,
+}
+
+impl Fleet {
+    /// Starts a fleet with `targets` targets and `prepaid` tokens.
+    pub async fn start(targets: usize, prepaid: u64) -> Fleet {
+        let platform = LocalPlatform::new();
+        platform.configure(parts(1, prepaid));
+        let mut started = Vec::new();
+        for n in 1..=targets {
+            let target = StandinTarget::start(&format!("t{n}"), "model", "zone-1").await.unwrap();
+            platform.register(&target, "ready");
+            started.push(target);
+        }
+        let router = Router::start(&platform, "r1", 1).await;
+        Fleet { platform, targets: started, router }
+    }
+
+    /// All runs at all targets.
+    pub fn runs(&self) -> usize {
+        self.targets.iter().map(|t| t.runs().len()).sum()
+    }
+
+    /// Fills the retry budget.
+    pub async fn earn_retries(&self) {
+        for n in 0..10 {
+            let got = Call::get("/safe/warm").id(&format!("warm{n}")).send(self.router.front).await;
+            assert_eq!(got.status(), 200);
+        }
+    }
+}
+
+/// A request of a caller.
+pub struct Call {
+    path: String,
+    id: String,
+    key: Option<String>,
+    headers: String,
+    body: String,
+}
+
+impl Call {
+    /// A request without a body.
+    pub fn get(path: &str) -> Call {
+        let key = Some("key-norte".to_owned());
+        Call {
+            path: path.into(),
+            id: "q1".into(),
+            key,
+            headers: String::new(),
+            body: String::new(),
+        }
+    }
+
+    /// Sets its id.
+    pub fn id(mut self, id: &str) -> Call {
+        self.id = id.into();
+        self
+    }
+
+    /// Sets its key.
+    pub fn key(mut self, key: &str) -> Call {
+        self.key = Some(key.into());
+        self
+    }
+
+    /// Adds a header line.
+    pub fn with(mut self, line: &str) -> Call {
+        self.headers += &format!("{line}\r\n");
+        self
+    }
+
+    /// Sets prompt tokens and most output tokens.
+    pub fn tokens(self, prompt: u64, output: u64) -> Call {
+        self.with(&format!("Tokens: {prompt},{output}"))
+    }
+
+    /// Sets its body.
+    pub fn body(mut self, body: &str) -> Call {
+        self.body = body.into();
+        self
+    }
+
+    /// Its bytes.
+    pub fn bytes(&self) -> Vec<u8> {
+        let method = if self.body.is_empty() { "GET" } else { "POST" };
+        let key = self.key.as_ref().map(|k| format!("Authorization: Bearer {k}\r\n"));
+        let length = if self.body.is_empty() {
+            String::new()
+        } else {
+            format!("Content-Length: {}\r\n", self.body.len())
+        };
+        format!(
+            "{method} {} HTTP/1.1\r\nHost: shop.example\r\nRequest-Id: {}\r\nTime-Left-Ms: 4000\r\n{}{}{length}\r\n{}",
+            self.path,
+            self.id,
+            key.unwrap_or_default(),
+            self.headers,
+            self.body,
+        )
+        .into_bytes()
+    }
+
+    /// Sends it on a connection of its own and reads everything that comes.
+    pub async fn send(&self, to: SocketAddr) -> Got {
+        let mut conn = Conn::dial(to, Duration::from_secs(5)).await.unwrap();
+        conn.write(&self.bytes()).await.unwrap();
+        Got::read(&mut conn).await
+    }
+}
+
+/// What a caller got.
+pub struct Got {
+    /// The head, if any came.
+    pub head: Option<ResponseHead>,
+    /// The body as far as it came.
+    pub body: String,
+    /// Whether the body was whole.
+    pub whole: bool,
+}
+
+impl Got {
+    /// Reads one answer.
+    pub async fn read(conn: &mut Conn) -> Got {
+        let Ok(head) = conn.read_response(64 * 1024).await else {
+            return Got { head: None, body: String::new(), whole: false };
+        };
+        let mut framing = head.body;
+        let mut body = Vec::new();
+        let whole = loop {
+            match conn.read_piece(&mut framing).await {
+                Ok(Some(piece)) => body.extend_from_slice(&piece),
+                Ok(None) => break true,
+                Err(_) => break false,
+            }
+        };
+        Got { head: Some(head), body: String::from_utf8(body).unwrap(), whole }
+    }
+
+    /// The status; 0 if the connection ended without an answer.
+    pub fn status(&self) -> u16 {
+        self.head.as_ref().map_or(0, |h| h.status)
+    }
+
+    /// A header's value.
+    pub fn header(&self, name: &str) -> Option<&str> {
+        self.head.as_ref().and_then(|h| header(&h.headers, name))
+    }
+
+    /// The ids of the events in the body.
+    pub fn events(&self) -> Vec<u64> {
+        let ids = self.body.lines().filter_map(|l| l.strip_prefix("id: "));
+        ids.map(|id| id.parse().unwrap()).collect()
+    }
+}
+
+/// Waits until `done` holds, for some seconds at most.
+pub async fn eventually(what: &str, done: impl Fn() -> bool) {
+    for _ in 0..1_000 {
+        if done() {
+            return;
+        }
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    panic!("{what} did not happen");
+}
--- a/tests/test_api.rs
+++ b/tests/test_api.rs
@@ -178,9 +178,9 @@
     t.router.stop().await;
     let got = sent.await.unwrap().unwrap();
     assert_eq!(got.attempts, 1);
-    let grants = kingcupwall::platform::scan_all(&t.platform.memory, "grant/").await.unwrap();
+    let grants = kingcupwall::table::scan_all(&t.platform.memory, "grant/").await.unwrap();
     assert!(grants.is_empty(), "{grants:?}");
-    let bills = kingcupwall::platform::scan_all(&t.platform.memory, "bill/").await.unwrap();
+    let bills = kingcupwall::table::scan_all(&t.platform.memory, "bill/").await.unwrap();
     assert_eq!(bills.len(), 1);
 }
 
--- a/tests/test_budget_holder.rs
+++ b/tests/test_budget_holder.rs
@@ -5,7 +5,7 @@
 use kingcupwall::budget::sizing::Sizing;
 use kingcupwall::error::Kind;
 use kingcupwall::ids::{BudgetId, Millis, Revision, Tokens};
-use kingcupwall::platform::Version;
+use kingcupwall::table::Version;
 use rstest::rstest;
 
 use crate::workdir::{bill, name};
--- a/tests/test_budget_random.rs
+++ b/tests/test_budget_random.rs
@@ -5,7 +5,7 @@
 use kingcupwall::budget::ledger::{Bill, BudgetRow, Change, GrantRow, Seen};
 use kingcupwall::budget::sizing::Sizing;
 use kingcupwall::ids::{BudgetId, Digest, Millis, Revision, Tokens};
-use kingcupwall::platform::Version;
+use kingcupwall::table::Version;
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
 
--- a/tests/test_budget_reclaim.rs
+++ b/tests/test_budget_reclaim.rs
@@ -13,9 +13,9 @@
 use kingcupwall::budget::witness::{Copy, Witness};
 use kingcupwall::error::Kind;
 use kingcupwall::ids::{BudgetId, Incarnation, Tokens};
-use kingcupwall::platform::committer::Committer;
-use kingcupwall::platform::memory::{Faults, Memory};
-use kingcupwall::platform::{Mutation, Outcome, Table, Txn, Version, read_one};
+use kingcupwall::table::committer::Committer;
+use kingcupwall::table::memory::{Faults, Memory};
+use kingcupwall::table::{Mutation, Outcome, Table, Txn, Version, read_one};
 
 use crate::workdir::{Anywhere, FakeBackup, FakeEngine, bill, name};
 
--- a/tests/test_committer.rs
+++ b/tests/test_committer.rs
@@ -2,9 +2,9 @@
 
 use std::time::Duration;
 
-use kingcupwall::platform::committer::Committer;
-use kingcupwall::platform::memory::{Faults, Memory};
-use kingcupwall::platform::{Mutation, Table, Version, read_one};
+use kingcupwall::table::committer::Committer;
+use kingcupwall::table::memory::{Faults, Memory};
+use kingcupwall::table::{Mutation, Table, Version, read_one};
 
 use crate::workdir::name;
 
--- a/tests/test_config.rs
+++ b/tests/test_config.rs
@@ -9,7 +9,7 @@
 use kingcupwall::config::store::{Follower, Submission, read_revisions, submit};
 use kingcupwall::error::Kind;
 use kingcupwall::ids::{Digest, Revision};
-use kingcupwall::platform::memory::{Faults, Memory};
+use kingcupwall::table::memory::{Faults, Memory};
 use proptest::prelude::*;
 use rstest::rstest;
 
--- a/tests/test_fleet.rs
+++ b/tests/test_fleet.rs
@@ -9,12 +9,12 @@
 use kingcupwall::experiment::budget::{BudgetPolicy, Workload, ledger_adds_up, run_one};
 use kingcupwall::ids::{Digest, Incarnation, OrganisationId, RequestKey, Tokens};
 use kingcupwall::membership::wire::{Ask, Mesh};
-use kingcupwall::platform::memory::Faults;
-use kingcupwall::platform::{Mutation, Table, Txn, scan_all};
 use kingcupwall::request::life::Repeatable;
 use kingcupwall::standin::batch::{expected_token, natural_length};
 use kingcupwall::standin::local::{Process, TargetFate};
 use kingcupwall::standin::local_fleet::{LocalFleet, LocalRequest, Setup};
+use kingcupwall::table::memory::Faults;
+use kingcupwall::table::{Mutation, Table, Txn, scan_all};
 use rstest::rstest;
 use tokio::time::sleep;
 
--- a/tests/tests.rs
+++ b/tests/tests.rs
@@ -1,5 +1,6 @@
 //! All integration tests, one crate.
 
+mod gatedir;
 mod test_answer;
 mod test_api;
 mod test_budget_holder;
@@ -8,5 +9,6 @@
 mod test_committer;
 mod test_config;
 mod test_fleet;
+mod test_gateway;
 mod test_link;
 mod workdir;
