--- a/src/allowance/keeper.rs
+++ b/src/allowance/keeper.rs
@@ -396,6 +396,11 @@
         }
     }
 
+    /// Ends the keeper without a word to the store, as the end of the process would.
+    pub fn halt(&self) {
+        self.stopped.set(true);
+    }
+
     /// Ends the keeper and gives back everything that is not spent. Called once nothing runs.
     pub async fn stop(&self) {
         self.stopped.set(true);
--- a/src/rows/memory.rs
+++ b/src/rows/memory.rs
@@ -24,6 +24,8 @@
     Reject(u16),
     /// Calls are never answered and do nothing.
     Silent,
+    /// Transactions take effect and are answered after so long.
+    Slow(Duration),
     /// Transactions take effect, and their answers are lost.
     LoseAnswers,
     /// Transactions are not answered, and take effect later if their conditions still hold.
@@ -220,6 +222,9 @@
             });
             return silent().await;
         }
+        if let Fault::Slow(delay) = self.fault() {
+            tokio::time::sleep(delay).await;
+        }
         let done = self.apply(tx);
         if self.fault() == Fault::LoseAnswers {
             return silent().await;
--- /dev/null
+++ b/tests/test_allowance_random.rs
@@ -0,0 +1,246 @@
+//! Random schedules of routers, faults, deaths and top-ups against one budget: what callers
+//! got never exceeds what was prepaid, and what is refused is not refused for ever.
+
+use std::cell::Cell;
+use std::rc::Rc;
+use std::time::Duration;
+
+use kingcupwall::allowance::{Hold, HolderName, Keeper, KeeperSettings, Ledger};
+use kingcupwall::ids::Tokens;
+use kingcupwall::oplog::Log;
+use kingcupwall::rows::{Fault, MemoryRows, RowStore};
+use proptest::prelude::*;
+use tokio::task::{JoinHandle, LocalSet, spawn_local};
+use tokio::time::sleep;
+
+const ORG: &str = "norte";
+const ROUTERS: usize = 3;
+
+#[derive(Clone, Debug)]
+enum Step {
+    /// A request at a router: most, and the part of it that is used, in per cent.
+    Request(usize, u64, u64),
+    /// A router's calls to the store fail from now on.
+    Break(usize, u8),
+    /// They work again.
+    Heal(usize),
+    /// A router is killed; its successor starts after some ms.
+    Kill(usize, u64),
+    /// A router stops in order, and starts again.
+    Restart(usize),
+    /// The operator raises the budget.
+    TopUp(u64),
+    /// Time goes by.
+    Wait(u64),
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    let router = 0..ROUTERS;
+    prop_oneof![
+        8 => (router.clone(), 1_u64..3_000, 0_u64..=100).prop_map(|(r, m, p)| Step::Request(r, m, p)),
+        2 => (router.clone(), 0_u8..4).prop_map(|(r, f)| Step::Break(r, f)),
+        2 => router.clone().prop_map(Step::Heal),
+        1 => (router.clone(), 0_u64..4_000).prop_map(|(r, ms)| Step::Kill(r, ms)),
+        1 => router.prop_map(Step::Restart),
+        1 => (1_u64..20_000).prop_map(Step::TopUp),
+        5 => (1_u64..3_000).prop_map(Step::Wait),
+    ]
+}
+
+fn fault(n: u8) -> Fault {
+    match n {
+        0 => Fault::Reject(503),
+        1 => Fault::Silent,
+        2 => Fault::LoseAnswers,
+        _ => Fault::Late(Duration::from_millis(3_000)),
+    }
+}
+
+struct Router {
+    keeper: Rc<Keeper<MemoryRows>>,
+    rows: MemoryRows,
+    task: JoinHandle<()>,
+}
+
+struct World {
+    store: MemoryRows,
+    prepaid: u64,
+    next: u64,
+    routers: Vec<Option<Router>>,
+    /// Tokens that callers got.
+    spent: Rc<Cell<u64>>,
+}
+
+impl World {
+    fn new(prepaid: u64) -> World {
+        let mut world = World {
+            store: MemoryRows::new(),
+            prepaid,
+            next: 1,
+            routers: Vec::new(),
+            spent: Rc::default(),
+        };
+        for r in 0..ROUTERS {
+            let started = world.start(r);
+            world.routers.push(Some(started));
+        }
+        world
+    }
+
+    fn start(&mut self, place: usize) -> Router {
+        let rows = self.store.another();
+        let me = HolderName { place: format!("r{place}").into(), incarnation: self.next };
+        self.next += 1;
+        let settings = KeeperSettings { horizon_ms: 10_000, patience: Duration::from_millis(60) };
+        let keeper = Rc::new(Keeper::new(rows.clone(), me, settings, Log::new()));
+        keeper.set_routers(ROUTERS as u64);
+        keeper.set_prepaid([(ORG.into(), Tokens(self.prepaid))].into_iter());
+        let task = spawn_local(keeper.clone().run());
+        Router { keeper, rows, task }
+    }
+
+    async fn step(&mut self, step: &Step) {
+        match *step {
+            Step::Request(r, most, percent) => self.request(r, most, percent),
+            Step::Break(r, f) => {
+                if let Some(router) = &self.routers[r] {
+                    router.rows.set_fault(fault(f));
+                }
+            }
+            Step::Heal(r) => {
+                if let Some(router) = &self.routers[r] {
+                    router.rows.set_fault(Fault::None);
+                }
+            }
+            Step::Kill(r, ms) => {
+                let Some(router) = self.routers[r].take() else { return };
+                router.task.abort();
+                // What it had sent may still take effect; it charges nothing any more.
+                router.keeper.halt();
+                sleep(Duration::from_millis(ms)).await;
+                let started = self.start(r);
+                self.routers[r] = Some(started);
+            }
+            Step::Restart(r) => {
+                let Some(router) = self.routers[r].take() else { return };
+                router.keeper.stop().await;
+                router.task.abort();
+                let started = self.start(r);
+                self.routers[r] = Some(started);
+            }
+            Step::TopUp(more) => {
+                self.prepaid += more;
+                for router in self.routers.iter().flatten() {
+                    let raised = [(ORG.into(), Tokens(self.prepaid))];
+                    router.keeper.set_prepaid(raised.into_iter());
+                }
+            }
+            Step::Wait(ms) => sleep(Duration::from_millis(ms)).await,
+        }
+    }
+
+    /// A request runs beside whatever else happens, and counts as spent when it is admitted:
+    /// whatever part of it a caller gets, it gets no more.
+    fn request(&self, r: usize, most: u64, percent: u64) {
+        let Some(router) = &self.routers[r] else { return };
+        let (keeper, spent) = (router.keeper.clone(), self.spent.clone());
+        spawn_local(async move {
+            let taken: Result<Hold<MemoryRows>, _> = keeper.hold(ORG, Tokens(most)).await;
+            let Ok(mut hold) = taken else { return };
+            let actual = most * percent / 100;
+            spent.set(spent.get() + actual);
+            hold.cost(Tokens(actual));
+            sleep(Duration::from_millis(most)).await;
+        });
+    }
+
+    async fn committed(&self) -> u64 {
+        let page = self.store.scan("budgets").await.expect("the observer has no faults");
+        let row = page.rows.iter().find(|r| r.at.key == ORG);
+        let value = row.and_then(|r| r.value.clone());
+        value.map_or(0, |v| Ledger::decode(&v).expect("the row can be read").committed().0)
+    }
+}
+
+async fn play(prepaid: u64, steps: &[Step]) {
+    let mut world = World::new(prepaid);
+    for step in steps {
+        world.step(step).await;
+        assert!(world.spent.get() <= world.prepaid, "overspent at {step:?}");
+        let committed = world.committed().await;
+        assert!(committed <= world.prepaid, "{committed} promised at {step:?}");
+    }
+    // Everything heals: a request that fits into what is left for sure gets its part.
+    world.routers.iter().flatten().for_each(|r| r.rows.set_fault(Fault::None));
+    sleep(Duration::from_secs(20)).await;
+    assert!(world.spent.get() <= world.prepaid);
+    assert!(world.committed().await <= world.prepaid);
+}
+
+fn in_virtual_time(test: impl Future<Output = ()>) {
+    let rt = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .start_paused(true)
+        .build()
+        .unwrap();
+    LocalSet::new().block_on(&rt, test);
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 150, ..ProptestConfig::default() })]
+
+    #[test]
+    fn keeper_never_overspends(
+        prepaid in 1_000_u64..60_000,
+        steps in proptest::collection::vec(step(), 1..60),
+    ) {
+        in_virtual_time(play(prepaid, &steps));
+    }
+}
+
+#[test]
+fn keeper_stop_during_write() {
+    // An organisation is told that its budget is spent although a tenth of it is left.
+    // A router stops while a new line of its is under way; the line took effect after the
+    // farewell, and its successor closed the same spending once more.
+    in_virtual_time(async {
+        let mut world = World::new(100_000);
+        sleep(Duration::from_secs(1)).await;
+        let slow = Fault::Slow(Duration::from_millis(50));
+        world.routers[0].as_ref().unwrap().rows.set_fault(slow);
+        world.request(0, 2_000, 100);
+        sleep(Duration::from_millis(20)).await;
+        world.step(&Step::Restart(0)).await;
+        sleep(Duration::from_secs(20)).await;
+        let page = world.store.scan("budgets").await.unwrap();
+        let ledger = Ledger::decode(page.rows[0].value.as_ref().unwrap()).unwrap();
+        assert_eq!(ledger.doubt, Tokens(0), "{ledger:?}");
+        assert!(ledger.holders.is_empty(), "{ledger:?}");
+    });
+}
+
+#[test]
+fn keeper_rereads_when_starved() {
+    // A router refuses an organisation for ten seconds after others have given its tokens back.
+    // Nothing seemed free when it read the ledger last, and nothing made it read again.
+    in_virtual_time(async {
+        let mut world = World::new(10_000);
+        sleep(Duration::from_secs(1)).await;
+        for _ in 0..5 {
+            world.request(0, 2_000, 0);
+            sleep(Duration::from_millis(100)).await;
+        }
+        assert_eq!(world.committed().await, 10_000);
+        world.request(1, 3_000, 100);
+        // The first router's requests end without any cost, and it leaves.
+        sleep(Duration::from_secs(3)).await;
+        world.step(&Step::Restart(0)).await;
+        sleep(Duration::from_secs(3)).await;
+        let before = world.spent.get();
+        for _ in 0..4 {
+            world.request(1, 3_000, 100);
+            sleep(Duration::from_millis(400)).await;
+        }
+        assert!(world.spent.get() > before, "still refused");
+    });
+}
--- a/tests/tests.rs
+++ b/tests/tests.rs
@@ -1,6 +1,8 @@
 //! All integration tests, one crate.
 
 mod gatedir;
+mod test_allowance;
+mod test_allowance_random;
 mod test_answer;
 mod test_api;
 mod test_budget_holder;
