--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -138,7 +138,7 @@
     /// # Errors
     /// `Truncated` if it holds no events.
     pub fn push(&mut self, piece: &[u8]) -> Result<Option<Bytes>, Ended> {
-        let Some(events) = self.splitter.push(piece).map_err(|()| Ended::Truncated)? else {
+        let Some(events) = self.splitter.push(piece).map_err(|_| Ended::Truncated)? else {
             return Ok(None);
         };
         let Events { bytes, count, last_id } = events;
--- a/src/gateway/sse.rs
+++ b/src/gateway/sse.rs
@@ -6,6 +6,10 @@
 /// The longest event that is accepted, in bytes; a longer one is no event.
 const MAX_EVENT: usize = 256 * 1024;
 
+/// The bytes of a stream cannot be events.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct NoEvents;
+
 /// Cuts a stream into whole events, so that no part of a broken one is ever forwarded.
 #[derive(Debug, Default)]
 pub struct Splitter {
@@ -27,8 +31,8 @@
     /// Adds a piece, and takes out all events that are whole by now.
     ///
     /// # Errors
-    /// `()` if the bytes cannot be events.
-    pub fn push(&mut self, piece: &[u8]) -> Result<Option<Events>, ()> {
+    /// If the bytes cannot be events.
+    pub fn push(&mut self, piece: &[u8]) -> Result<Option<Events>, NoEvents> {
         let scanned = self.buf.len().saturating_sub(3);
         self.buf.extend_from_slice(piece);
         let mut end = 0;
@@ -40,7 +44,7 @@
             count += 1;
         }
         if end == 0 {
-            return if self.buf.len() > MAX_EVENT { Err(()) } else { Ok(None) };
+            return if self.buf.len() > MAX_EVENT { Err(NoEvents) } else { Ok(None) };
         }
         let bytes = self.buf.split_to(end).freeze();
         let last_id = last_id(&bytes);
--- a/src/oplog.rs
+++ b/src/oplog.rs
@@ -35,7 +35,7 @@
     text: String,
     allowances: Vec<Allowance>,
     dropped: u64,
-    dropped_total: u64,
+    ever_dropped: u64,
 }
 
 /// A handle to the log of this process.
@@ -56,7 +56,7 @@
             text: String::new(),
             allowances: Vec::new(),
             dropped: 0,
-            dropped_total: 0,
+            ever_dropped: 0,
         })))
     }
 
@@ -75,7 +75,7 @@
         let ms = buf.start.elapsed().as_millis();
         if !buf.admits(kind, per_s, u64::try_from(ms / 1_000).unwrap_or(u64::MAX)) {
             buf.dropped += 1;
-            buf.dropped_total += 1;
+            buf.ever_dropped += 1;
             return;
         }
         // Writing into a string cannot fail.
@@ -94,8 +94,8 @@
     }
 
     /// Lines that were dropped since the start.
-    pub fn dropped(&self) -> u64 {
-        self.0.borrow().dropped_total
+    pub fn lines_dropped(&self) -> u64 {
+        self.0.borrow().ever_dropped
     }
 
     /// Writes lines to `out` until the process ends. A reader that has stalled holds up only
--- a/tests/test_gateway.rs
+++ b/tests/test_gateway.rs
@@ -123,7 +123,8 @@
         let fleet = Fleet::start(2, 1_000).await;
         fleet.earn_retries().await;
         let faults = [TargetFault::LosesAnswer, TargetFault::Garbage, TargetFault::CutsBody];
-        fleet.targets.iter().for_each(|t| t.fail(&faults));
+        // Whichever target a request goes to, it meets a fault there.
+        fleet.targets.iter().for_each(|t| t.fail(&faults.repeat(2)));
         for n in 0..6 {
             let got = Call::get("/once/a").id(&format!("o{n}")).send(fleet.router.front).await;
             assert_eq!(got.status(), 502);
--- /dev/null
+++ b/tests/test_gateway_decisions.rs
@@ -0,0 +1,213 @@
+//! The gateway's decisions, without sockets.
+
+use std::time::Duration;
+
+use kingcupwall::gateway::catalog::{Catalog, RouteKind, Share};
+use kingcupwall::gateway::entry::{EntryView, RouterEntry};
+use kingcupwall::gateway::outcome::{Ended, Final, Made, Next, next};
+use kingcupwall::gateway::place::{Candidate, Demand, Placement, Weights, place};
+use kingcupwall::gateway::retries::{RetryAllowance, RetryShares};
+use kingcupwall::gateway::sse::Splitter;
+use proptest::prelude::*;
+use rstest::rstest;
+
+use crate::gatedir::{parts, route};
+
+const NEW: Made = Made { runs: 1, sends: 1 };
+
+#[rstest]
+#[case(RouteKind::NonIdempotent, Ended::NoAnswer, 1, Next::Answer(Final::Unknown))]
+#[case(RouteKind::NonIdempotent, Ended::Truncated, 3, Next::Answer(Final::Unknown))]
+#[case(RouteKind::Stream, Ended::NoAnswer, 3, Next::Answer(Final::Unknown))]
+#[case(RouteKind::NonIdempotent, Ended::Failed, 3, Next::Answer(Final::TargetsOwn))]
+#[case(RouteKind::Idempotent, Ended::NoAnswer, 2, Next::Retry(Final::Unknown))]
+#[case(RouteKind::Idempotent, Ended::Failed, 2, Next::Retry(Final::TargetsOwn))]
+#[case(RouteKind::Idempotent, Ended::Failed, 1, Next::Answer(Final::TargetsOwn))]
+#[case(RouteKind::ResumableStream, Ended::Truncated, 2, Next::Retry(Final::Unknown))]
+fn next_after_run(
+    #[case] kind: RouteKind,
+    #[case] ended: Ended,
+    #[case] attempts: u32,
+    #[case] expected: Next,
+) {
+    assert_eq!(next(kind, ended, NEW, attempts), expected);
+}
+
+#[rstest]
+fn next_never_runs_twice(
+    #[values(Ended::NoAnswer, Ended::Truncated, Ended::Failed)] ended: Ended,
+    #[values(RouteKind::NonIdempotent, RouteKind::Stream)] kind: RouteKind,
+    #[values(1, 2, 5)] attempts: u32,
+    #[values(1, 2, 4)] sends: u32,
+) {
+    let next = next(kind, ended, Made { runs: 1, sends }, attempts);
+    assert!(matches!(next, Next::Answer(Final::Unknown | Final::TargetsOwn)), "{next:?}");
+}
+
+#[rstest]
+fn next_not_run_only_if_true(
+    #[values(Ended::NotSent, Ended::NotRun, Ended::OtherTarget)] ended: Ended,
+    #[values(0, 1, 2)] runs: u32,
+    #[values(1, 4)] sends: u32,
+) {
+    // "Not run" after an earlier send of the same request may have run would be a lie.
+    let next = next(RouteKind::Idempotent, ended, Made { runs, sends }, 3);
+    let says_not_run = matches!(next, Next::Answer(Final::NotRun) | Next::Retry(Final::NotRun));
+    assert!(runs == 0 || !says_not_run, "{next:?}");
+}
+
+#[test]
+fn route_longest_prefix() {
+    let mut p = parts(1, 10);
+    p.routes.push(route("/safe/deep/", RouteKind::Stream, 1));
+    let catalog = Catalog::build(p);
+    let name = |path| catalog.route("SHOP.example", path).map(|r| r.name.to_string());
+    assert_eq!(name("/safe/deep/x").as_deref(), Some("safe/deep"));
+    assert_eq!(name("/safe/deepx").as_deref(), Some("safe"));
+    assert_eq!(name("/safe").as_deref(), None);
+    assert!(catalog.route("other.example", "/safe/a").is_none());
+}
+
+#[test]
+fn route_shares() {
+    let mut r = route("/a/", RouteKind::Idempotent, 1);
+    r.shares =
+        vec![Share { service: "x".into(), weight: 90 }, Share { service: "y".into(), weight: 10 }];
+    let of = |draw| r.service(draw).unwrap().to_string();
+    assert_eq!(
+        (of(0.0), of(0.899), of(0.901), of(0.9999)),
+        ("x".into(), "x".into(), "y".into(), "y".into())
+    );
+}
+
+fn candidate() -> Candidate {
+    Candidate {
+        near: true,
+        wait_ms: 10.0,
+        prefill_ms: 50.0,
+        running: 0,
+        slots: 8,
+        rank: 0,
+        doubtful: false,
+        full: false,
+        tried: false,
+    }
+}
+
+const DEMAND: Demand =
+    Demand { aim: Duration::from_millis(300), left: Duration::from_secs(5), engine: true };
+
+fn sent(placement: Placement) -> usize {
+    let Placement::Send { index, .. } = placement else { panic!("{placement:?}") };
+    index
+}
+
+#[test]
+fn place_cached_before_idle() {
+    // Reading a prompt's shared part again takes time that others wait for.
+    let cached = Candidate { wait_ms: 40.0, prefill_ms: 20.0, ..candidate() };
+    let idle = Candidate { prefill_ms: 120.0, ..candidate() };
+    assert_eq!(sent(place(&[idle, cached], &DEMAND, &Weights::default())), 1);
+    // But a long queue outweighs it.
+    let queued = Candidate { wait_ms: 400.0, ..cached };
+    assert_eq!(sent(place(&[idle, queued], &DEMAND, &Weights::default())), 0);
+}
+
+#[test]
+fn place_doubtful_last() {
+    let doubtful = Candidate { doubtful: true, ..candidate() };
+    let slow = Candidate { wait_ms: 200.0, ..candidate() };
+    assert_eq!(sent(place(&[doubtful, slow], &DEMAND, &Weights::default())), 1);
+    assert_eq!(sent(place(&[doubtful], &DEMAND, &Weights::default())), 0);
+    let none = place(&[Candidate { tried: true, ..candidate() }], &DEMAND, &Weights::default());
+    assert_eq!(none, Placement::NoTarget);
+}
+
+#[test]
+fn place_too_late() {
+    // Steady load over capacity: every request is admitted, waits behind all others, and is late.
+    let busy = Candidate { wait_ms: 900.0, ..candidate() };
+    let placement = place(&[busy, busy], &DEMAND, &Weights::default());
+    let Placement::Busy { room_in_ms } = placement else { panic!("{placement:?}") };
+    assert!((600.0..900.0).contains(&room_in_ms), "{room_in_ms}");
+}
+
+#[test]
+fn place_all_full() {
+    let full = Candidate { full: true, ..candidate() };
+    let placement = place(&[full], &DEMAND, &Weights::default());
+    assert!(matches!(placement, Placement::Busy { .. }));
+}
+
+#[test]
+fn retries_over_any_window() {
+    // A service that fails for all gets little more than its share of repeats, from any number
+    // of routers, over any window.
+    let allowance = RetryAllowance { ratio: 0.2, slack: 52.0 };
+    let routers = 6;
+    let mut fleet: Vec<RetryShares> = (0..routers).map(|_| RetryShares::new(allowance)).collect();
+    fleet.iter_mut().for_each(|r| r.set_routers(routers));
+    let mut repeats = Vec::new();
+    for n in 0..6_000_usize {
+        let router = &mut fleet[n % routers as usize];
+        router.earn("api");
+        // Quiet at first, then everything fails.
+        repeats.push(u32::from(n > 2_000 && router.take("api")));
+    }
+    for window in repeats.windows(400) {
+        let sum: u32 = window.iter().sum();
+        assert!(f64::from(sum) <= 0.2 * 400.0 + 52.0, "{sum}");
+    }
+    assert!(repeats.iter().sum::<u32>() > 600);
+}
+
+#[test]
+fn entry_answer_near() {
+    let router = |n: u8, zone: &str, leaving| RouterEntry {
+        front: format!("127.0.0.{n}:80").parse().unwrap(),
+        zone: zone.into(),
+        leaving,
+    };
+    let mut view = EntryView {
+        routers: vec![
+            router(1, "a", false),
+            router(2, "a", false),
+            router(3, "b", false),
+            router(4, "b", true),
+        ],
+        ready: true,
+    };
+    let answer = |view: &EntryView, zone| -> Vec<String> {
+        view.answer(zone).iter().map(|a| a.ip().to_string()).collect()
+    };
+    assert_eq!(answer(&view, "a"), ["127.0.0.1", "127.0.0.2"]);
+    // One alone in its zone: its loss would leave the zone's callers without any.
+    assert_eq!(answer(&view, "b"), ["127.0.0.1", "127.0.0.2", "127.0.0.3"]);
+    view.routers[0].leaving = true;
+    assert_eq!(answer(&view, "a"), ["127.0.0.2", "127.0.0.3"]);
+}
+
+proptest! {
+    #[test]
+    fn splitter_whole_events(cuts in proptest::collection::vec(1_usize..30, 1..40)) {
+        let text: String = (1..40).map(|n| format!("id: {n}\ndata: {}\n\n", "x".repeat(n % 7))).collect();
+        let mut splitter = Splitter::default();
+        let (mut rest, mut out, mut count, mut last) = (text.as_bytes(), Vec::new(), 0, None);
+        for n in cuts.iter().cycle() {
+            if rest.is_empty() {
+                break;
+            }
+            let (piece, after) = rest.split_at((*n).min(rest.len()));
+            rest = after;
+            if let Some(events) = splitter.push(piece).unwrap() {
+                prop_assert!(events.bytes.ends_with(b"\n\n"));
+                out.extend_from_slice(&events.bytes);
+                count += events.count;
+                last = events.last_id;
+            }
+        }
+        prop_assert_eq!(out, text.as_bytes());
+        prop_assert_eq!((count, last.as_deref()), (39, Some("39")));
+        prop_assert!(!splitter.is_within_event());
+    }
+}
--- /dev/null
+++ b/tests/test_http1.rs
@@ -0,0 +1,106 @@
+//! Heads and bodies, byte by byte.
+
+use bytes::BytesMut;
+use kingcupwall::http1::{
+    BadHead, Decoder, Step, keep_alive_seconds, parse_request, parse_response,
+};
+use rstest::rstest;
+
+fn request(text: &str) -> Result<Option<kingcupwall::http1::RequestHead>, BadHead> {
+    parse_request(&mut BytesMut::from(text))
+}
+
+#[rstest]
+#[case("GET /a HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n")]
+#[case("GET /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\nContent-Length: 3\r\n\r\n")]
+#[case("GET /a HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\n")]
+#[case("GET /a HTTP/1.1\r\nHost: h\r\nContent-Length: +3\r\n\r\n")]
+#[case("GET /a HTTP/1.1\r\nHost: h\r\nContent-Length: 3, 3\r\n\r\n")]
+#[case("GET /a HTTP/1.1\r\nHost: h\r\nX: 1\r\n folded\r\n\r\n")]
+#[case("GET /a HTTP/1.1\r\nHost: h\r\nContent-Length : 3\r\n\r\n")]
+#[case("GET /a HTTP/1.1\r\nHost: h\r\nHost: i\r\n\r\n")]
+#[case("GET /a HTTP/1.1\r\nX: 1\r\n\r\n")]
+#[case("GET /a HTTP/1.0\r\nTransfer-Encoding: chunked\r\n\r\n")]
+#[case("GET /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding:\r\n\r\n")]
+fn parse_request_ambiguous(#[case] text: &str) {
+    assert!(matches!(request(text), Err(BadHead::Malformed)), "{text}");
+}
+
+#[test]
+fn parse_request_unknown_coding() {
+    let text = "GET /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: gzip, chunked\r\n\r\n";
+    assert!(matches!(request(text), Err(BadHead::UnknownCoding)));
+}
+
+#[test]
+fn parse_request_in_pieces() {
+    let text = "POST /a?b HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nok";
+    for n in 0..text.len() - 2 {
+        assert!(request(&text[..n]).unwrap().is_none(), "{n}");
+    }
+    let mut buf = BytesMut::from(text);
+    let head = parse_request(&mut buf).unwrap().unwrap();
+    assert_eq!((head.method.as_str(), head.target.as_str(), head.keep), ("POST", "/a?b", true));
+    assert_eq!(head.body.known_length(), Some(2));
+    assert_eq!(&buf[..], b"ok");
+}
+
+#[rstest]
+#[case("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n", true)]
+#[case("HTTP/1.1 200 OK\r\nContent-Length: 2\r\nConnection: close\r\n\r\n", false)]
+#[case("HTTP/1.1 200 OK\r\n\r\n", false)]
+#[case("HTTP/1.0 200 OK\r\nContent-Length: 2\r\n\r\n", false)]
+#[case("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 204 None\r\n\r\n", true)]
+fn parse_response_keep(#[case] text: &str, #[case] keep: bool) {
+    let head = parse_response(&mut BytesMut::from(text)).unwrap().unwrap();
+    assert_eq!(head.keep, keep);
+}
+
+#[test]
+fn keep_alive_timeout() {
+    let text = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\nKeep-Alive: max=5, timeout=7\r\n\r\n";
+    let head = parse_response(&mut BytesMut::from(text)).unwrap().unwrap();
+    assert_eq!(keep_alive_seconds(&head.headers), Some(7));
+}
+
+/// All payload that `text` holds in pieces of `n` bytes, and the last step.
+fn decode(mut body: Decoder, text: &[u8], n: usize) -> (Vec<u8>, Step) {
+    let (mut buf, mut out) = (BytesMut::new(), Vec::new());
+    for piece in text.chunks(n) {
+        buf.extend_from_slice(piece);
+        loop {
+            match body.decode(&mut buf) {
+                Step::Piece(p) => out.extend_from_slice(&p),
+                Step::More => break,
+                end => return (out, end),
+            }
+        }
+    }
+    (out, Step::More)
+}
+
+#[test]
+fn decode_chunked_in_pieces() {
+    let text = b"3;x=y\r\nabc\r\nA\r\n0123456789\r\n0\r\nTrailer: 1\r\n\r\nnext";
+    for n in 1..text.len() {
+        let (out, end) = decode(Decoder::chunked(), text, n);
+        assert_eq!((out.as_slice(), end), (&b"abc0123456789"[..], Step::Done), "{n}");
+    }
+}
+
+#[rstest]
+#[case(b"3\nabc\r\n0\r\n\r\n")]
+#[case(b"3\r\nabcd\r\n0\r\n\r\n")]
+#[case(b"-3\r\nabc\r\n0\r\n\r\n")]
+#[case(b"0x3\r\nabc\r\n0\r\n\r\n")]
+#[case(b"fffffffff\r\nabc")]
+fn decode_chunked_bad(#[case] text: &[u8]) {
+    let (_, end) = decode(Decoder::chunked(), text, text.len());
+    assert_eq!(end, Step::Bad);
+}
+
+#[test]
+fn decode_cut_is_not_whole() {
+    assert_eq!(decode(Decoder::length(5), b"1234", 2).1, Step::More);
+    assert_eq!(decode(Decoder::chunked(), b"4\r\n1234\r\n", 3).1, Step::More);
+}
--- a/tests/tests.rs
+++ b/tests/tests.rs
@@ -12,5 +12,8 @@
 mod test_config;
 mod test_fleet;
 mod test_gateway;
+mod test_gateway_decisions;
+mod test_http1;
 mod test_link;
+mod test_oplog;
 mod workdir;
