--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -7,6 +7,8 @@
 pub mod demo;
 pub mod digest;
 pub mod experiment;
+pub mod explain;
+pub mod gateway_demo;
 pub mod load;
 pub mod router;
 pub mod standin;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod engine;
 pub mod error;
 pub mod experiment;
+pub mod explain;
 pub mod gateway;
 pub mod http1;
 pub mod ids;
--- a/src/standin/mod.rs
+++ b/src/standin/mod.rs
@@ -4,6 +4,7 @@
 pub mod batch;
 pub mod fleet;
 pub mod gateway;
+pub mod gateway_host;
 pub mod local;
 pub mod local_fleet;
 pub mod platform;
--- a/tests/gatedir.rs
+++ b/tests/gatedir.rs
@@ -1,19 +1,15 @@
 //! A small fleet of gateways on stand-ins, with callers that see every byte.
 
 use std::net::SocketAddr;
-use std::rc::Rc;
 use std::time::Duration;
 
 use kingcupwall::gateway::catalog::{Engine, Share};
-use kingcupwall::gateway::{
-    CatalogParts, Gateway, Limits, Organisation, Route, RouteKind, Service, front, members, sync,
-};
+use kingcupwall::gateway::{CatalogParts, Limits, Organisation, Route, RouteKind, Service};
 use kingcupwall::http1::{Conn, ResponseHead, header};
 use kingcupwall::ids::Tokens;
-use kingcupwall::oplog::Log;
-use kingcupwall::standin::gateway::{LocalPlatform, StandinTarget, process, settings};
-use tokio::net::TcpListener;
-use tokio::task::{JoinHandle, LocalSet, spawn_local};
+use kingcupwall::standin::gateway::{LocalPlatform, StandinTarget};
+use kingcupwall::standin::gateway_host::GatewayHost;
+use tokio::task::LocalSet;
 
 /// Runs a test on one thread with local tasks, as the daemon does.
 pub fn local(test: impl Future<Output = ()>) {
@@ -63,53 +59,6 @@
     }
 }
 
-/// One router of the fleet.
-pub struct Router {
-    /// Where callers connect.
-    pub front: SocketAddr,
-    /// Its state.
-    pub gw: Rc<Gateway<LocalPlatform>>,
-    /// Its handle of the platform, to inject faults.
-    pub platform: LocalPlatform,
-    /// Its log.
-    pub log: Log,
-    tasks: Vec<JoinHandle<()>>,
-}
-
-impl Router {
-    /// Starts a router as the process `incarnation` of `instance`.
-    pub async fn start(platform: &LocalPlatform, instance: &str, incarnation: u64) -> Router {
-        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-        let front = listener.local_addr().unwrap();
-        let platform = platform.another();
-        let log = Log::new();
-        let me = process(instance, incarnation);
-        let settings = settings(instance, "zone-1", front);
-        let gw = Gateway::new(platform.clone(), settings, me, log.clone());
-        let tasks = vec![
-            spawn_local(sync::follow_config(gw.clone())),
-            spawn_local(sync::follow_targets(gw.clone())),
-            spawn_local(members::run(gw.clone())),
-            spawn_local(gw.keeper.clone().run()),
-            spawn_local(front::accept(gw.clone(), listener)),
-        ];
-        let router = Router { front, gw, platform, log, tasks };
-        while !router.is_up() {
-            tokio::time::sleep(Duration::from_millis(5)).await;
-        }
-        router
-    }
-
-    fn is_up(&self) -> bool {
-        self.gw.is_ready() && self.gw.targets.count().1 > 0
-    }
-
-    /// Ends it as a kill would: nothing is written any more.
-    pub fn kill(self) {
-        self.tasks.iter().for_each(JoinHandle::abort);
-    }
-}
-
 /// A store, its targets and one router.
 pub struct Fleet {
     /// The platform as its operator uses it.
@@ -117,7 +66,7 @@
     /// Targets, all of one service.
     pub targets: Vec<StandinTarget>,
     /// The first router.
-    pub router: Router,
+    pub router: GatewayHost,
 }
 
 impl Fleet {
@@ -131,7 +80,7 @@
             platform.register(&target, "ready");
             started.push(target);
         }
-        let router = Router::start(&platform, "r1", 1).await;
+        let router = GatewayHost::start(&platform, "r1", "zone-1", 1).await.unwrap();
         Fleet { platform, targets: started, router }
     }
 
--- /dev/null
+++ b/tests/test_explain.rs
@@ -0,0 +1,29 @@
+//! From a request's id to its cause.
+
+use kingcupwall::explain::explain;
+
+const LOG: &str = "\
+t_ms=1 event=start instance=r1 zone=a process=r1@1
+t_ms=9 event=store state=answers silent_ms=None ver=1
+t_ms=10 event=config version=4 from=0 row_ver=7 routes=17 outcome=in_force
+t_ms=11 event=target target=t1 service=x state=Ready zone=a ver=8
+t_ms=12 event=target target=t2 service=x state=Ready zone=a ver=9
+t_ms=900 event=store state=away cause=no_answer:timeout
+t_ms=950 event=send id=q1 target=t1 ended=NoAnswer runs=0 sends=1 at_ms=12
+t_ms=951 event=refused id=q1 route=r status=502 reason=target_failed retry_after_ms=None at_ms=13
+t_ms=952 event=refused id=q11 route=r status=503 reason=busy retry_after_ms=Some(90) at_ms=1
+t_ms=953 event=store state=answers silent_ms=Some(800) ver=9";
+
+#[test]
+fn explain_request() {
+    let found = explain("q1", LOG);
+    let times: Vec<&str> =
+        found.iter().map(|l| l.split(' ').find(|f| f.starts_with("t_ms")).unwrap()).collect();
+    assert_eq!(times, ["t_ms=1", "t_ms=10", "t_ms=11", "t_ms=900", "t_ms=950", "t_ms=951"]);
+    assert!(found[4].starts_with("> ") && found[0].starts_with("  "));
+}
+
+#[test]
+fn explain_unknown() {
+    assert!(explain("q2", LOG).is_empty());
+}
--- a/tests/test_gateway.rs
+++ b/tests/test_gateway.rs
@@ -8,8 +8,9 @@
 use kingcupwall::ids::Tokens;
 use kingcupwall::rows::{Fault, RowStore};
 use kingcupwall::standin::gateway::{LocalPlatform, TargetFault};
+use kingcupwall::standin::gateway_host::GatewayHost;
 
-use crate::gatedir::{Call, Fleet, Got, Router, eventually, local, parts};
+use crate::gatedir::{Call, Fleet, Got, eventually, local, parts};
 
 async fn ledger(platform: &LocalPlatform) -> Ledger {
     let page = platform.rows.another().scan("budgets").await.unwrap();
@@ -339,7 +340,7 @@
         let got = Call::get("/stream/a").tokens(1_000, 20).send(fleet.router.front).await;
         assert!(got.whole);
         fleet.router.kill();
-        let next = Router::start(&fleet.platform, "r1", 2).await;
+        let next = GatewayHost::start(&fleet.platform, "r1", "zone-1", 2).await.unwrap();
         let got = Call::get("/stream/a").tokens(1_000, 20).send(next.front).await;
         assert!(got.whole);
         let ledger = ledger(&fleet.platform).await;
--- a/tests/tests.rs
+++ b/tests/tests.rs
@@ -10,6 +10,7 @@
 mod test_budget_reclaim;
 mod test_committer;
 mod test_config;
+mod test_explain;
 mod test_fleet;
 mod test_gateway;
 mod test_gateway_decisions;
