Budgets: a waiting request raises the floor of its line

Ruled out: races (the transactions of that moment had been written in 6 ms). Test account_large_request_opens_line fails without it.

--- a/src/allowance/account.rs
+++ b/src/allowance/account.rs
@@ -174,6 +174,11 @@
         self.settled
     }
 
+    /// The version of the ledger row that decisions rest on.
+    pub fn ver(&self) -> Ver {
+        self.ver
+    }
+
     /// What a refusal rests on, for the log.
     pub fn describe(&self, now: Instant) -> String {
         format!(
@@ -390,7 +395,7 @@
         if !self.pending.is_empty() {
             return true;
         }
-        let short = self.is_starved(now) && next.ceiling > current.line.ceiling;
+        let short = self.is_starved(now) && next.floor > self.allowed(now);
         let old = now.saturating_duration_since(self.renewed).as_millis();
         let spends = self.charged() != self.written;
         let open = next.ceiling.0.saturating_sub(self.charged().0);
--- a/tests/test_allowance.rs
+++ b/tests/test_allowance.rs
@@ -107,6 +107,28 @@
     assert_eq!(account.charged(), Tokens(120));
 }
 
+#[tokio::test(start_paused = true)]
+async fn account_large_request_opens_line() {
+    // A large request is refused while its organisation has plenty and the store answers.
+    // The line ends far enough and opens too slowly: a new one with a higher floor is due at once,
+    // although its end is no further.
+    let mut account = started(1_000_000);
+    let now = Instant::now();
+    for _ in 0..20 {
+        while account.hold(Tokens(500), now).is_err() {
+            let ver = account.ver().0 + 1;
+            write(&mut account, ver);
+        }
+    }
+    let headroom = account.allowed(now).0 - account.charged().0;
+    let large = Tokens(headroom + 1);
+    assert!(account.charged().0 + large.0 < account.ceiling().0);
+    assert_eq!(account.hold(large, now), Err(Denied::NoneHere));
+    let ver = account.ver().0 + 1;
+    write(&mut account, ver);
+    assert_eq!(account.hold(large, now), Ok(()));
+}
+
 #[tokio::test(start_paused = true)]
 async fn account_unanswered_write() {
     // An organisation spends past its budget after a lost answer and a power cut.
