Test of the raised floor made strict

The first version passed without the mending as well (its line's end moved on every write); the line now ends where the rest of the budget is held elsewhere, and the test fails without the mending.

--- a/tests/test_allowance.rs
+++ b/tests/test_allowance.rs
@@ -112,7 +112,15 @@
     // A large request is refused while its organisation has plenty and the store answers.
     // The line ends far enough and opens too slowly: a new one with a higher floor is due at once,
     // although its end is no further.
-    let mut account = started(1_000_000);
+    let mut account = started(60_000);
+    let mut ledger = Ledger::default();
+    ledger.set(Holder {
+        name: me("b", 1),
+        settled: Tokens(0),
+        rate: Tokens(0),
+        line: line(0, 0, 30_000, 0),
+    });
+    account.observe(ledger, Ver(1));
     let now = Instant::now();
     for _ in 0..20 {
         while account.hold(Tokens(500), now).is_err() {
