--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -261,8 +261,8 @@
         self.gw.log.note(
             "budget",
             format_args!(
-                "id={id} org={org} most={most} {state} config={} outcome={}",
-                self.catalog.version, own.reason
+                "id={id} route={} org={org} most={most} {state} config={} outcome={}",
+                self.route.name, self.catalog.version, own.reason
             ),
         );
         own
