--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -4,36 +4,25 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use compact_str::CompactString;
-use tokio::time::{Instant, timeout, timeout_at};
+use tokio::time::{Instant, timeout_at};
 
 use super::catalog::{Catalog, Route, RouteKind};
 use super::outcome::{self, Ended, Final, Made, Next};
 use super::place::{Demand, Placement, place};
-use super::pool::{Link, dial};
-use super::request::{Additions, Facts, Names, encode, host, path};
+use super::request::{Facts, Names, host, path};
 use super::sse::{Events, Splitter};
 use super::state::{Gateway, Platform};
 use super::stats::sent;
 use super::sync::confirm_config;
 use super::targets::{Backend, Flight, PlaceRequest, Planned};
 use crate::allowance::{Denied, Hold};
-use crate::http1::{Conn, Decoder, HeadError, RequestHead, ResponseHead, header};
+use crate::http1::{Conn, Decoder, RequestHead, ResponseHead};
 use crate::ids::Tokens;
 
-/// The longest response head that is accepted, in bytes.
-const MAX_RESPONSE_HEAD: usize = 32 * 1024;
-/// Plain answers up to this size are read whole before any byte is forwarded, so that a broken
-/// one can be asked for again and is never seen by the caller.
-const WHOLE_ANSWER: usize = 256 * 1024;
-/// Answers to earlier requests that are skipped on a connection, at most.
-const MAX_STRAY: usize = 2;
 /// Least time that a target must have left; less is spent on the way.
 const LEAST_TIME: Duration = Duration::from_millis(5);
-/// Time after which a request that may be repeated goes to another target, against its aim: a
-/// target that hangs holds up everything sent to it, and its health answer may still be good.
-const PATIENCE_X: f64 = 2.0;
 /// When to come back after a refusal that names no better time.
 const COME_BACK: Duration = Duration::from_millis(400);
 /// When to come back if this router lacks a part of the budget: a cut from the store lasts
@@ -268,7 +257,7 @@
         own
     }
 
-    fn names(&self) -> &Names {
+    pub(super) fn names(&self) -> &Names {
         self.gw.platform.names()
     }
 
@@ -407,222 +396,9 @@
             ),
         );
     }
-
-    /// Sends the request to one target and reads the answer, as much of it as is held back.
-    async fn send(
-        &mut self,
-        backend: &Rc<Backend>,
-        plan: &Planned,
-        resume_after: Option<&str>,
-    ) -> Result<Reply, Ended> {
-        self.tried.push(backend.id());
-        let flight = Flight::begin(backend, plan, &self.facts.parts, Instant::now());
-        let kept = backend.pool.borrow_mut().take();
-        let mut link = match kept {
-            Some(link) => link,
-            None => dial(backend.addr()).await.map_err(|_| Ended::NotSent)?,
-        };
-        let target = backend.id();
-        let add = Additions {
-            target: &target,
-            organisation: self.org.as_deref(),
-            time_left: self.until.saturating_duration_since(Instant::now()),
-            urgency: None,
-            resume_after,
-        };
-        let bytes = encode(self.names(), self.head, &self.body, &add);
-        self.made.sends += 1;
-        self.made.runs += 1;
-        let ran_before = self.may_have_run.replace(true);
-        if self.made.runs == 1 {
-            self.charge(0);
-        }
-        if plan.engine {
-            let shared = super::targets::shared_parts(&self.facts.parts);
-            self.gw.hints.placed(&target, plan.prefill_ms, shared);
-        }
-        let outcome = self.answer(&mut link, &bytes, plan).await;
-        match outcome {
-            Ok(head) => self.read_start(link.conn, head, flight).await,
-            Err(ended) => {
-                if !ended.may_have_run() {
-                    self.made.runs -= 1;
-                    self.may_have_run.set(ran_before);
-                    if let Some(hold) = self.hold.as_mut().filter(|_| self.made.runs == 0) {
-                        hold.cost(Tokens(0));
-                    }
-                    if link.conn.is_quiet() {
-                        let keep = ResponseHead {
-                            status: 503,
-                            reason: CompactString::default(),
-                            headers: Vec::new(),
-                            body: Decoder::length(0),
-                            keep: true,
-                        };
-                        backend.pool.borrow_mut().put(link.conn, &keep);
-                    }
-                }
-                Err(ended)
-            }
-        }
-    }
-
-    /// Writes the request and reads the head of the answer to it.
-    async fn answer(
-        &self,
-        link: &mut Link,
-        bytes: &[u8],
-        plan: &Planned,
-    ) -> Result<ResponseHead, Ended> {
-        let exchange = async {
-            link.conn.write_until_answered(bytes).await.map_err(|_| Ended::NoAnswer)?;
-            self.read_own_head(link).await
-        };
-        match self.patience(plan) {
-            Some(patience) => timeout(patience, exchange).await.map_err(|_| Ended::NoAnswer)?,
-            None => exchange.await,
-        }
-    }
-
-    /// How long to wait for an answer before another target is asked; none if there may be no
-    /// other.
-    fn patience(&self, plan: &Planned) -> Option<Duration> {
-        let may = self.route.kind.repeats() && self.made.runs < self.route.max_attempts;
-        let predicted = Duration::from_secs_f64(plan.predicted_ms / 1_000.0);
-        may.then(|| self.route.aim.mul_f64(PATIENCE_X) + predicted)
-    }
-
-    /// Reads response heads up to the one that echoes this request's id. Others belong to
-    /// requests before it on the same connection, and are skipped with their bodies: taken for
-    /// ours, they would hand one caller's answer to another.
-    async fn read_own_head(&self, link: &mut Link) -> Result<ResponseHead, Ended> {
-        let names = self.names();
-        for _ in 0..=MAX_STRAY {
-            let head = link.conn.read_response(MAX_RESPONSE_HEAD).await.map_err(|e| {
-                let id = &self.facts.id;
-                let used = link.used;
-                let cause = match e {
-                    HeadError::Closed => "closed",
-                    HeadError::Broken(_) => "broken",
-                    HeadError::Bad(_) => "not_http",
-                    HeadError::TooLong => "head_too_long",
-                };
-                self.gw.log.note(
-                    "answer",
-                    format_args!("id={id} outcome=unreadable cause={cause} kept={used}"),
-                );
-                Ended::NoAnswer
-            })?;
-            let echoed = header(&head.headers, &names.request_id);
-            let is_ours = echoed == Some(self.facts.id.as_str());
-            let fresh = !link.used && echoed.is_none();
-            if is_ours || fresh {
-                if let Some(ended) = not_run(names, &head) {
-                    let mut body = head.body;
-                    // The connection is used again only if this body is whole.
-                    if head.keep && !body.ends_with_connection() {
-                        while let Ok(Some(_)) = link.conn.read_piece(&mut body).await {}
-                    }
-                    return Err(ended);
-                }
-                return if is_ours { Ok(head) } else { Err(Ended::NoAnswer) };
-            }
-            let id = &self.facts.id;
-            self.gw.log.note(
-                "answer",
-                format_args!("id={id} outcome=stray_answer_skipped stray_id={echoed:?}"),
-            );
-            let mut body = head.body;
-            if body.ends_with_connection() {
-                return Err(Ended::NoAnswer);
-            }
-            while link.conn.read_piece(&mut body).await.map_err(|_| Ended::NoAnswer)?.is_some() {}
-        }
-        Err(Ended::NoAnswer)
-    }
-
-    async fn read_start(
-        &mut self,
-        conn: Conn,
-        mut head: ResponseHead,
-        mut flight: Flight,
-    ) -> Result<Reply, Ended> {
-        if self.head.method == "HEAD" {
-            head.body = Decoder::length(0);
-        }
-        let is_stream = self.route.kind.is_stream() && (200..300).contains(&head.status);
-        let body = head.body;
-        let mut rest = Rest { conn, body, stream: is_stream.then(StreamState::default) };
-        let start = if is_stream {
-            self.first_events(&mut rest, &mut flight).await?
-        } else {
-            whole_or_start(&mut rest).await?
-        };
-        flight.backend().answered();
-        let rest = if rest.body.is_done() && !is_stream {
-            flight.backend().pool.borrow_mut().put(rest.conn, &head);
-            None
-        } else {
-            Some(rest)
-        };
-        Ok(Reply { head, start, rest, flight })
-    }
-
-    /// Waits for a stream's first whole event: until then the caller has nothing, and another
-    /// target can take over if this one breaks off.
-    async fn first_events(&self, rest: &mut Rest, flight: &mut Flight) -> Result<Bytes, Ended> {
-        let stream = rest.stream.as_mut().expect("a stream has its state");
-        loop {
-            let piece = rest.conn.read_piece(&mut rest.body).await.map_err(|_| Ended::Truncated)?;
-            let Some(piece) = piece else { return Ok(Bytes::new()) };
-            if let Some(events) = stream.push(&piece)? {
-                let took = flight.first_event();
-                self.gw.stats.first_event.observe((Instant::now() - self.started).as_secs_f64());
-                let (id, backend) = (&self.facts.id, flight.backend());
-                self.gw.log.routine(
-                    "placed",
-                    format_args!(
-                        "id={id} route={} target={} predicted_ms={:.0} first_ms={} prompt={} most_output={} estimate={:?}",
-                        self.route.name,
-                        backend.id(),
-                        flight.predicted_ms(),
-                        took.as_millis(),
-                        self.facts.prompt,
-                        self.facts.most_output,
-                        self.facts.estimate,
-                    ),
-                );
-                return Ok(events);
-            }
-        }
-    }
-}
-
-/// Reads a plain answer, whole if it is not too large.
-async fn whole_or_start(rest: &mut Rest) -> Result<Bytes, Ended> {
-    let mut start = BytesMut::new();
-    while start.len() < WHOLE_ANSWER {
-        match rest.conn.read_piece(&mut rest.body).await.map_err(|_| Ended::Truncated)? {
-            Some(piece) => start.extend_from_slice(&piece),
-            None => {
-                // A body that ended with its connection is whole now.
-                rest.body = Decoder::length(0);
-                break;
-            }
-        }
-    }
-    Ok(start.freeze())
-}
-
-/// Whether a response proves that its target did not run the request.
-fn not_run(names: &Names, head: &ResponseHead) -> Option<Ended> {
-    if head.status == 421 {
-        return Some(Ended::OtherTarget);
-    }
-    header(&head.headers, &names.not_run).map(|_| Ended::NotRun)
 }
 
-/// Whether a route's requests go to the same place as one whose kind is `kind`.
+/// The name of a kind of route in figures.
 pub fn label(kind: RouteKind) -> &'static str {
     match kind {
         RouteKind::Idempotent => "idempotent",
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -4,7 +4,7 @@
 //! Decisions are pure and stand in files of their own: [`catalog`] (route and organisation),
 //! [`place`] (which target, and whether at all), [`outcome`] (what may follow a failure),
 //! [`retries`] (whether the fleet can afford it), [`entry`] (which routers callers should use).
-//! [`forward`] and [`front`] carry them out.
+//! [`forward`] with its sends, [`relay`] and [`front`] carry them out.
 
 pub mod catalog;
 pub mod drain;
@@ -19,6 +19,7 @@
 pub mod relay;
 pub mod request;
 pub mod retries;
+mod send;
 pub mod sse;
 pub mod state;
 mod stats;
