Entry answers name as few routers as carry a zone's requests

Cause: every router held a part of every budget; with 60 and 76 of them nearly every write of a ledger met a newer version and half of all requests were refused. Ruled out: one transaction for each organisation (the first try still meets a newer version).

--- a/src/gateway/entry.rs
+++ b/src/gateway/entry.rs
@@ -4,9 +4,9 @@
 
 use compact_str::CompactString;
 
-/// Routers of the caller's own zone that must be there before others are left out: with one
-/// alone, its loss would leave the zone's callers without any address.
-const ENOUGH_NEAR: usize = 2;
+/// Room that is left at the routers named, against the rate of the last moments: callers come in
+/// clumps, and an answer is kept for a while.
+const ROOM: f64 = 1.3;
 /// Addresses in one answer, at most.
 const MAX_ADDRESSES: usize = 64;
 
@@ -19,6 +19,10 @@
     pub zone: CompactString,
     /// Whether it is stopping.
     pub leaving: bool,
+    /// Requests a second that it took of late.
+    pub rate: u32,
+    /// Requests a second that it can take.
+    pub capacity: u32,
 }
 
 /// What the entry answers of this router rest on.
@@ -32,13 +36,26 @@
 
 impl EntryView {
     /// The routers that callers of `zone` should use: those of the zone, which costs no traffic
-    /// between zones, and all others too when the zone has too few.
+    /// between zones, and of them only as many as carry the zone's requests. Each router that
+    /// takes an organisation's requests holds a part of its budget, so fewer routers strand less
+    /// of it, and leave less in doubt when they die. All routers if the zone has none.
     pub fn answer(&self, zone: &str) -> Vec<SocketAddr> {
-        let staying = || self.routers.iter().filter(|r| !r.leaving);
-        let near: Vec<SocketAddr> = staying().filter(|r| r.zone == zone).map(|r| r.front).collect();
-        if near.len() >= ENOUGH_NEAR {
-            return near.into_iter().take(MAX_ADDRESSES).collect();
+        let of_zone = || self.routers.iter().filter(|r| r.zone == zone);
+        let rate: f64 = of_zone().map(|r| f64::from(r.rate)).sum();
+        let mut room = 0.0;
+        let mut near = Vec::new();
+        for r in of_zone().filter(|r| !r.leaving) {
+            if !near.is_empty() && room >= rate * ROOM {
+                break;
+            }
+            room += f64::from(r.capacity);
+            near.push(r.front);
         }
-        staying().map(|r| r.front).take(MAX_ADDRESSES).collect()
+        if near.is_empty() {
+            let staying = self.routers.iter().filter(|r| !r.leaving);
+            near.extend(staying.map(|r| r.front));
+        }
+        near.truncate(MAX_ADDRESSES);
+        near
     }
 }
--- a/src/gateway/front.rs
+++ b/src/gateway/front.rs
@@ -59,6 +59,7 @@
     }
 
     fn request(gw: &'a Gateway<P>, bytes: u64) -> Counted<'a, P> {
+        gw.taken.set(gw.taken.get().saturating_add(1));
         gw.active.set(gw.active.get() + 1);
         gw.body_bytes.set(gw.body_bytes.get() + bytes);
         Counted(gw, Kind::Request(bytes))
--- a/src/gateway/members.rs
+++ b/src/gateway/members.rs
@@ -7,6 +7,7 @@
 use bytes::Bytes;
 use compact_str::CompactString;
 use serde::{Deserialize, Serialize};
+use tokio::time::Instant;
 
 use super::entry::RouterEntry;
 use super::state::{Gateway, Phase, Platform};
@@ -28,6 +29,9 @@
     peer: SocketAddr,
     zone: CompactString,
     leaving: bool,
+    /// Requests a second of late, and at most.
+    rate: u32,
+    capacity: u32,
     /// Newest store time that the router knew when it wrote the row.
     beat: StoreMs,
 }
@@ -49,7 +53,13 @@
     let mut phase = gw.phase.subscribe();
     let mut seen = StoreMs(0);
     publish(&gw, &[]);
+    let mut measured = Instant::now();
     loop {
+        let s = measured.elapsed().as_secs_f64();
+        if s >= BEAT.as_secs_f64() / 2.0 {
+            gw.rate.set((f64::from(gw.taken.replace(0)) / s) as u32);
+            measured = Instant::now();
+        }
         if let Some(now) = renew(&gw, seen).await {
             seen = now;
         }
@@ -68,7 +78,15 @@
 async fn renew<P: Platform>(gw: &Gateway<P>, seen: StoreMs) -> Option<StoreMs> {
     let s = &gw.settings;
     let leaving = *gw.phase.borrow() != Phase::Up;
-    let entry = Entry { front: s.front, peer: s.peer, zone: s.zone.clone(), leaving, beat: seen };
+    let entry = Entry {
+        front: s.front,
+        peer: s.peer,
+        zone: s.zone.clone(),
+        leaving,
+        rate: gw.rate.get(),
+        capacity: s.capacity,
+        beat: seen,
+    };
     let at = RowKey::new(TABLE, &s.instance);
     let tx = Tx { write: vec![(at, entry.encode())], ..Tx::default() };
     match gw.platform.commit(&tx).await {
@@ -93,7 +111,13 @@
     let live: Vec<RouterEntry> = entries
         .iter()
         .filter(|(_, age)| *age < STALE_MS)
-        .map(|(e, _)| RouterEntry { front: e.front, zone: e.zone.clone(), leaving: e.leaving })
+        .map(|(e, _)| RouterEntry {
+            front: e.front,
+            zone: e.zone.clone(),
+            leaving: e.leaving,
+            rate: e.rate,
+            capacity: e.capacity,
+        })
         .collect();
     let told = |near: bool| {
         let zone = &gw.settings.zone;
@@ -110,7 +134,13 @@
 fn publish<P: Platform>(gw: &Gateway<P>, others: &[RouterEntry]) {
     let s = &gw.settings;
     let leaving = *gw.phase.borrow() != Phase::Up;
-    let me = RouterEntry { front: s.front, zone: s.zone.clone(), leaving };
+    let me = RouterEntry {
+        front: s.front,
+        zone: s.zone.clone(),
+        leaving,
+        rate: gw.rate.get(),
+        capacity: s.capacity,
+    };
     let mut routers = others.to_vec();
     routers.push(me);
     routers.sort_by_key(|r| r.front);
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -63,6 +63,8 @@
     pub budgets: KeeperSettings,
     /// Weights of placement.
     pub weights: Weights,
+    /// Requests a second that this router is meant to take.
+    pub capacity: u32,
     /// Lifetime of entry answers.
     pub entry_ttl: Duration,
     /// Time between the order to stop and the forced end.
@@ -123,6 +125,10 @@
     pub phase: watch::Sender<Phase>,
     /// Entry answers rest on this.
     pub entry: watch::Sender<EntryView>,
+    /// Requests taken since the rate was measured, and that rate a second.
+    pub taken: Cell<u32>,
+    /// See `taken`.
+    pub rate: Cell<u32>,
     /// Requests that are being served.
     pub active: Cell<usize>,
     /// Open connections of callers.
@@ -153,6 +159,8 @@
             confirmed: tokio::sync::Mutex::new(None),
             phase: watch::Sender::new(Phase::Up),
             entry: watch::Sender::new(EntryView::default()),
+            taken: Cell::new(0),
+            rate: Cell::new(0),
             active: Cell::new(0),
             connections: Cell::new(0),
             body_bytes: Cell::new(0),
--- a/src/standin/gateway.rs
+++ b/src/standin/gateway.rs
@@ -379,6 +379,7 @@
             patience: Duration::from_millis(500),
         },
         weights: Weights::default(),
+        capacity: 100,
         entry_ttl: Duration::from_millis(100),
         grace: Duration::from_secs(5),
         body_memory: 64 * 1024 * 1024,
