--- a/src/gateway/members.rs
+++ b/src/gateway/members.rs
@@ -60,6 +60,8 @@
             gw.rate.set((f64::from(gw.taken.replace(0)) / s) as u32);
             measured = Instant::now();
         }
+        gw.stats.active.set(i64::try_from(gw.active.get()).unwrap_or(i64::MAX));
+        gw.stats.log_dropped.set(i64::try_from(gw.log.lines_dropped()).unwrap_or(i64::MAX));
         if let Some(now) = renew(&gw, seen).await {
             seen = now;
         }
--- a/src/gateway/pool.rs
+++ b/src/gateway/pool.rs
@@ -69,16 +69,6 @@
     pub fn clear(&mut self) {
         self.idle.clear();
     }
-
-    /// Number of kept connections.
-    pub fn len(&self) -> usize {
-        self.idle.len()
-    }
-
-    /// Whether none is kept.
-    pub fn is_empty(&self) -> bool {
-        self.idle.is_empty()
-    }
 }
 
 /// A new connection.
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -34,18 +34,12 @@
     pub output_estimate: CompactString,
     /// The last event that a caller has.
     pub last_event_id: CompactString,
-    /// The target's proof of its answer.
-    pub seal: CompactString,
     /// The organisation's name, for targets.
     pub organisation: CompactString,
     /// The id of the target that a request is meant for.
     pub expect_target: CompactString,
-    /// The id of the target that answered.
-    pub answered_by: CompactString,
     /// A target's proof that it did not run the request.
     pub not_run: CompactString,
-    /// Rank of a request at its target.
-    pub urgency: CompactString,
     /// Headers that only routers and targets set; dropped when a caller sends them.
     pub reserved: Vec<CompactString>,
 }
@@ -151,8 +145,6 @@
     pub organisation: Option<&'a str>,
     /// Time left for the target.
     pub time_left: Duration,
-    /// Rank at the target, if it is not the usual one.
-    pub urgency: Option<u8>,
     /// Go on after this event instead of the one the caller named.
     pub resume_after: Option<&'a str>,
 }
@@ -179,9 +171,6 @@
     if let Some(org) = add.organisation {
         line(&mut out, &names.organisation, org.as_bytes());
     }
-    if let Some(urgency) = add.urgency {
-        let _ = write!(out, "{}: {urgency}\r\n", names.urgency);
-    }
     if let Some(event) = add.resume_after {
         line(&mut out, &names.last_event_id, event.as_bytes());
     }
--- a/src/gateway/send.rs
+++ b/src/gateway/send.rs
@@ -47,7 +47,6 @@
             target: &target,
             organisation: self.org.as_deref(),
             time_left: self.until.saturating_duration_since(Instant::now()),
-            urgency: None,
             resume_after,
         };
         let bytes = encode(self.names(), self.head, &self.body, &add);
--- a/src/gateway/targets.rs
+++ b/src/gateway/targets.rs
@@ -243,11 +243,6 @@
     pub fn full(&self) {
         self.load.borrow_mut().full_until = Some(Instant::now() + FULL);
     }
-
-    /// Whether it is still listed.
-    pub fn is_listed(&self) -> bool {
-        !self.lapsed.get()
-    }
 }
 
 /// A request on its way through a target; counts as load until dropped.
--- a/src/standin/gateway.rs
+++ b/src/standin/gateway.rs
@@ -49,12 +49,9 @@
         token_counts: TOKEN_COUNTS.into(),
         output_estimate: "Output-Estimate".into(),
         last_event_id: LAST_EVENT.into(),
-        seal: SEAL.into(),
         organisation: ORGANISATION.into(),
         expect_target: EXPECT_TARGET.into(),
-        answered_by: "Answered-By".into(),
         not_run: NOT_RUN.into(),
-        urgency: "Urgency".into(),
         reserved: vec![ORGANISATION.into(), EXPECT_TARGET.into(), NOT_RUN.into(), SEAL.into()],
     }
 }
