--- a/src/allowance/keeper.rs
+++ b/src/allowance/keeper.rs
@@ -274,6 +274,8 @@
         true
     }
 
+    /// Only a row without a version is an untouched budget. One that has a version and no
+    /// readable value is an error, and nothing is spent from it.
     fn take_in(&self, slot: &mut Slot, value: &[u8], ver: Ver) {
         let ledger = if ver.0 == 0 { Ok(Ledger::default()) } else { Ledger::decode(value) };
         match ledger {
--- a/src/cmd/gateway_demo.rs
+++ b/src/cmd/gateway_demo.rs
@@ -10,12 +10,9 @@
 
 use crate::allowance::Ledger;
 use crate::error::{Error, Kind, Result};
-use crate::gateway::catalog::{Engine, Share};
-use crate::gateway::{CatalogParts, Limits, Organisation, Route, RouteKind, Service};
 use crate::http1::Conn;
-use crate::ids::Tokens;
 use crate::rows::RowStore;
-use crate::standin::gateway::{LocalPlatform, StandinTarget, TargetFault};
+use crate::standin::gateway::{LocalPlatform, StandinTarget, TOKENS_PER_EVENT, TargetFault, parts};
 use crate::standin::gateway_host::GatewayHost;
 
 /// Availability zones, with one router and two targets each.
@@ -42,41 +39,6 @@
     requests: usize,
 }
 
-fn configuration() -> CatalogParts {
-    let route = |prefix: &str, kind| Route {
-        name: prefix.trim_matches('/').into(),
-        host: "demo.example".into(),
-        prefix: prefix.into(),
-        kind,
-        timeout: Duration::from_secs(5),
-        aim: Duration::from_millis(400),
-        gap_aim: Duration::from_millis(200),
-        priority: 1,
-        max_attempts: 2,
-        public: false,
-        shares: vec![Share { service: "model".into(), weight: 1 }],
-    };
-    CatalogParts {
-        version: 1,
-        routes: vec![
-            route("/stream/", RouteKind::Stream),
-            route("/resumable/", RouteKind::ResumableStream),
-        ],
-        services: vec![Service {
-            name: "model".into(),
-            max_connections: 100,
-            engine: Some(Engine { slots: 8, kv_capacity: 100_000, tokens_per_event: 2 }),
-        }],
-        limits: Limits::default(),
-        organisations: Some(vec![Organisation {
-            name: "norte".into(),
-            keys: vec!["key-norte".into()],
-            priority: None,
-            prepaid: Some(Tokens(PREPAID)),
-        }]),
-    }
-}
-
 /// What callers saw.
 #[derive(Debug, Default)]
 struct Outcomes {
@@ -92,7 +54,7 @@
     let kind = if n.is_multiple_of(2) { "stream" } else { "resumable" };
     let (prompt, output) = COST;
     let req = format!(
-        "GET /{kind}/a HTTP/1.1\r\nHost: demo.example\r\nRequest-Id: d{n}\r\nTime-Left-Ms: 4000\r\n\
+        "GET /{kind}/a HTTP/1.1\r\nHost: shop.example\r\nRequest-Id: d{n}\r\nTime-Left-Ms: 4000\r\n\
          Authorization: Bearer key-norte\r\nTokens: {prompt},{output}\r\n\r\n"
     );
     let Ok(mut conn) = Conn::dial(to, SILENCE).await else {
@@ -119,7 +81,7 @@
     let mut seen = seen.borrow_mut();
     match (head.status, whole) {
         (200, whole) => {
-            seen.tokens += prompt + events * 2;
+            seen.tokens += prompt + events * TOKENS_PER_EVENT;
             *(if whole { &mut seen.whole } else { &mut seen.cut }) += 1;
         }
         _ => seen.refused += 1,
@@ -128,7 +90,7 @@
 
 async fn play(requests: usize) -> Result<()> {
     let platform = LocalPlatform::new();
-    platform.configure(configuration());
+    platform.configure(parts(1, PREPAID));
     let mut targets = Vec::new();
     for (n, zone) in ZONES.iter().chain(&ZONES).enumerate() {
         let target = StandinTarget::start(&format!("t{n}"), "model", zone).await?;
--- a/src/standin/gateway.rs
+++ b/src/standin/gateway.rs
@@ -13,11 +13,15 @@
 use tokio::task::spawn_local;
 
 use crate::error::{Error, Kind, Result};
+use crate::gateway::catalog::{Engine, Share};
+use crate::gateway::place::Weights;
+use crate::gateway::retries::RetryAllowance;
 use crate::gateway::{
-    Catalog, CatalogParts, Names, Platform, TargetInfo, TargetState, place::Weights,
-    retries::RetryAllowance,
+    Catalog, CatalogParts, Limits, Names, Organisation, Platform, Route, RouteKind, Service,
+    TargetInfo, TargetState,
 };
 use crate::http1::{Conn, Header, RequestHead, header};
+use crate::ids::Tokens;
 use crate::rows::{Committed, MemoryRows, Page, RowStore, StoreResult, Tx, Ver};
 
 /// How long a stand-in's bytes may stay unacknowledged.
@@ -56,6 +60,52 @@
     }
 }
 
+/// A route of the only host.
+pub fn route(prefix: &str, kind: RouteKind, max_attempts: u32) -> Route {
+    Route {
+        name: prefix.trim_matches('/').into(),
+        host: "shop.example".into(),
+        prefix: prefix.into(),
+        kind,
+        timeout: Duration::from_secs(5),
+        aim: Duration::from_millis(400),
+        gap_aim: Duration::from_millis(200),
+        priority: 1,
+        max_attempts,
+        public: false,
+        shares: vec![Share { service: "model".into(), weight: 1 }],
+    }
+}
+
+/// The usual configuration: four kinds of routes, one organisation with `prepaid` tokens.
+pub fn parts(version: u64, prepaid: u64) -> CatalogParts {
+    CatalogParts {
+        version,
+        routes: vec![
+            route("/safe/", RouteKind::Idempotent, 2),
+            route("/once/", RouteKind::NonIdempotent, 1),
+            route("/stream/", RouteKind::Stream, 1),
+            route("/resumable/", RouteKind::ResumableStream, 2),
+        ],
+        services: vec![Service {
+            name: "model".into(),
+            max_connections: 100,
+            engine: Some(Engine {
+                slots: 8,
+                kv_capacity: 100_000,
+                tokens_per_event: TOKENS_PER_EVENT,
+            }),
+        }],
+        limits: Limits::default(),
+        organisations: Some(vec![Organisation {
+            name: "norte".into(),
+            keys: vec!["key-norte".into()],
+            priority: None,
+            prepaid: Some(Tokens(prepaid)),
+        }]),
+    }
+}
+
 /// A platform over the row store in memory. Configurations are kept beside the store, and
 /// their row holds a number; a target's row is `service address zone slots state`.
 #[derive(Clone)]
--- a/tests/gatedir.rs
+++ b/tests/gatedir.rs
@@ -3,11 +3,8 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use kingcupwall::gateway::catalog::{Engine, Share};
-use kingcupwall::gateway::{CatalogParts, Limits, Organisation, Route, RouteKind, Service};
 use kingcupwall::http1::{Conn, ResponseHead, header};
-use kingcupwall::ids::Tokens;
-use kingcupwall::standin::gateway::{LocalPlatform, StandinTarget};
+use kingcupwall::standin::gateway::{LocalPlatform, StandinTarget, parts};
 use kingcupwall::standin::gateway_host::GatewayHost;
 use tokio::task::LocalSet;
 
@@ -17,48 +14,6 @@
     LocalSet::new().block_on(&rt, test);
 }
 
-/// A route of the only host.
-pub fn route(prefix: &str, kind: RouteKind, max_attempts: u32) -> Route {
-    Route {
-        name: prefix.trim_matches('/').into(),
-        host: "shop.example".into(),
-        prefix: prefix.into(),
-        kind,
-        timeout: Duration::from_secs(5),
-        aim: Duration::from_millis(400),
-        gap_aim: Duration::from_millis(200),
-        priority: 1,
-        max_attempts,
-        public: false,
-        shares: vec![Share { service: "model".into(), weight: 1 }],
-    }
-}
-
-/// The usual configuration: four kinds of routes, one organisation with `prepaid` tokens.
-pub fn parts(version: u64, prepaid: u64) -> CatalogParts {
-    CatalogParts {
-        version,
-        routes: vec![
-            route("/safe/", RouteKind::Idempotent, 2),
-            route("/once/", RouteKind::NonIdempotent, 1),
-            route("/stream/", RouteKind::Stream, 1),
-            route("/resumable/", RouteKind::ResumableStream, 2),
-        ],
-        services: vec![Service {
-            name: "model".into(),
-            max_connections: 100,
-            engine: Some(Engine { slots: 8, kv_capacity: 100_000, tokens_per_event: 2 }),
-        }],
-        limits: Limits::default(),
-        organisations: Some(vec![Organisation {
-            name: "norte".into(),
-            keys: vec!["key-norte".into()],
-            priority: None,
-            prepaid: Some(Tokens(prepaid)),
-        }]),
-    }
-}
-
 /// A store, its targets and one router.
 pub struct Fleet {
     /// The platform as its operator uses it.
--- a/tests/test_gateway.rs
+++ b/tests/test_gateway.rs
@@ -7,10 +7,10 @@
 use kingcupwall::http1::{Conn, header};
 use kingcupwall::ids::Tokens;
 use kingcupwall::rows::{Fault, RowStore};
-use kingcupwall::standin::gateway::{LocalPlatform, TargetFault};
+use kingcupwall::standin::gateway::{LocalPlatform, TargetFault, parts};
 use kingcupwall::standin::gateway_host::GatewayHost;
 
-use crate::gatedir::{Call, Fleet, Got, eventually, local, parts};
+use crate::gatedir::{Call, Fleet, Got, eventually, local};
 
 async fn ledger(platform: &LocalPlatform) -> Ledger {
     let page = platform.rows.another().scan("budgets").await.unwrap();
--- a/tests/test_gateway_decisions.rs
+++ b/tests/test_gateway_decisions.rs
@@ -8,11 +8,10 @@
 use kingcupwall::gateway::place::{Candidate, Demand, Placement, Weights, place};
 use kingcupwall::gateway::retries::{RetryAllowance, RetryShares};
 use kingcupwall::gateway::sse::Splitter;
+use kingcupwall::standin::gateway::{parts, route};
 use proptest::prelude::*;
 use rstest::rstest;
 
-use crate::gatedir::{parts, route};
-
 const NEW: Made = Made { runs: 1, sends: 1 };
 
 #[rstest]
