Routers stay known after a cut of all; the largest are named first

Cause: after a cut of all routers from the store every row in the routers' table was older than the limit, because none could be renewed. A new process also wrote its first row before it knew the store's time, and counted as gone for its first two seconds. Tests: reads_stale_after_cut_of_all, entry_answer_largest_first.

--- a/src/gateway/entry.rs
+++ b/src/gateway/entry.rs
@@ -1,5 +1,6 @@
 //! Entry answers: which routers callers of a zone should connect to.
 
+use std::cmp::Reverse;
 use std::net::SocketAddr;
 
 use compact_str::CompactString;
@@ -36,15 +37,19 @@
 
 impl EntryView {
     /// The routers that callers of `zone` should use: those of the zone, which costs no traffic
-    /// between zones, and of them only as many as carry the zone's requests. Each router that
-    /// takes an organisation's requests holds a part of its budget, so fewer routers strand less
-    /// of it, and leave less in doubt when they die. All routers if the zone has none.
+    /// between zones, and of them only as many as carry the zone's requests, the largest first.
+    /// Each router that takes an organisation's requests holds a part of its budget, so fewer
+    /// routers strand less of it, and leave less in doubt when they die. All routers if the zone
+    /// has none.
     pub fn answer(&self, zone: &str) -> Vec<SocketAddr> {
         let of_zone = || self.routers.iter().filter(|r| r.zone == zone);
         let rate: f64 = of_zone().map(|r| f64::from(r.rate)).sum();
+        let mut staying: Vec<_> = of_zone().filter(|r| !r.leaving).collect();
+        // All routers answer alike: those of one size in the order of their addresses.
+        staying.sort_by_key(|r| (Reverse(r.capacity), r.front));
         let mut room = 0.0;
         let mut near = Vec::new();
-        for r in of_zone().filter(|r| !r.leaving) {
+        for r in staying {
             if !near.is_empty() && room >= rate * ROOM {
                 break;
             }
--- a/src/gateway/members.rs
+++ b/src/gateway/members.rs
@@ -51,7 +51,7 @@
 /// Renews this router's row and reads all others, for ever.
 pub async fn run<P: Platform>(gw: Rc<Gateway<P>>) {
     let mut phase = gw.phase.subscribe();
-    let mut seen = StoreMs(0);
+    let mut reads = Reads::default();
     publish(&gw, &[]);
     let mut measured = Instant::now();
     loop {
@@ -62,13 +62,12 @@
         }
         gw.stats.active.set(i64::try_from(gw.active.get()).unwrap_or(i64::MAX));
         gw.stats.log_dropped.set(i64::try_from(gw.log.lines_dropped()).unwrap_or(i64::MAX));
-        if let Some(now) = renew(&gw, seen).await {
-            seen = now;
-        }
+        // Read first: a row written without knowing the store's time would count as stale.
         match gw.platform.scan(TABLE).await {
             Ok(page) => {
-                seen = page.now;
-                take(&gw, &page);
+                reads.note(page.now);
+                take(&gw, &page, reads.stale_ms(page.now));
+                renew(&gw, page.now).await;
             }
             Err(e) => gw.log.routine("members", format_args!("outcome=unread cause={e}")),
         }
@@ -77,7 +76,35 @@
     }
 }
 
-async fn renew<P: Platform>(gw: &Gateway<P>, seen: StoreMs) -> Option<StoreMs> {
+/// When this router read the table, by the store's clock.
+#[derive(Debug, Default)]
+pub struct Reads {
+    latest: Option<StoreMs>,
+    /// The longest time without an answer of late, ms, and when it was over.
+    gap: Option<(u64, StoreMs)>,
+}
+
+impl Reads {
+    /// Notes a reading.
+    pub fn note(&mut self, now: StoreMs) {
+        let gap = self.latest.map_or(0, |l| now.0.saturating_sub(l.0));
+        if gap > STALE_MS / 2 {
+            self.gap = Some((gap, now));
+        }
+        self.latest = Some(now);
+    }
+
+    /// The age at which a row counts as stale. While this router could not read, the others
+    /// could perhaps not write. Without this allowance every router believes itself alone once a
+    /// cut of all is over, names only itself to callers, and the callers spread over the whole
+    /// fleet: 60 routers then race for each budget's row instead of ten.
+    pub fn stale_ms(&self, now: StoreMs) -> u64 {
+        let gap = self.gap.filter(|(_, over)| now.0.saturating_sub(over.0) < STALE_MS);
+        STALE_MS + gap.map_or(0, |(gap, _)| gap)
+    }
+}
+
+async fn renew<P: Platform>(gw: &Gateway<P>, seen: StoreMs) {
     let s = &gw.settings;
     let leaving = *gw.phase.borrow() != Phase::Up;
     let entry = Entry {
@@ -92,18 +119,12 @@
     let at = RowKey::new(TABLE, &s.instance);
     let tx = Tx { write: vec![(at, entry.encode())], ..Tx::default() };
     match gw.platform.commit(&tx).await {
-        Ok(done) => {
-            gw.keeper.saw(done.now);
-            Some(done.now)
-        }
-        Err(e) => {
-            gw.log.routine("members", format_args!("outcome=unwritten cause={e}"));
-            None
-        }
+        Ok(done) => gw.keeper.saw(done.now),
+        Err(e) => gw.log.routine("members", format_args!("outcome=unwritten cause={e}")),
     }
 }
 
-fn take<P: Platform>(gw: &Gateway<P>, page: &Page) {
+fn take<P: Platform>(gw: &Gateway<P>, page: &Page, stale_ms: u64) {
     let others = page.rows.iter().filter(|r| r.at.key != gw.settings.instance);
     let entries: Vec<(Entry, u64)> = others
         .filter_map(Entry::decode)
@@ -112,7 +133,7 @@
         .collect();
     let live: Vec<RouterEntry> = entries
         .iter()
-        .filter(|(_, age)| *age < STALE_MS)
+        .filter(|(_, age)| *age < stale_ms)
         .map(|(e, _)| RouterEntry {
             front: e.front,
             zone: e.zone.clone(),
@@ -123,7 +144,7 @@
         .collect();
     let told = |near: bool| {
         let zone = &gw.settings.zone;
-        let live = entries.iter().filter(|(e, age)| *age < STALE_MS && (e.zone == *zone) == near);
+        let live = entries.iter().filter(|(e, age)| *age < stale_ms && (e.zone == *zone) == near);
         live.map(|(e, _)| e.peer).collect()
     };
     gw.hints.set_peers(told(true), told(false));
--- a/tests/test_gateway_decisions.rs
+++ b/tests/test_gateway_decisions.rs
@@ -4,10 +4,12 @@
 
 use kingcupwall::gateway::catalog::{Catalog, RouteKind, Share};
 use kingcupwall::gateway::entry::{EntryView, RouterEntry};
+use kingcupwall::gateway::members::Reads;
 use kingcupwall::gateway::outcome::{Ended, Final, Made, Next, next};
 use kingcupwall::gateway::place::{Candidate, Demand, Placement, Weights, place};
 use kingcupwall::gateway::retries::{RetryAllowance, RetryShares};
 use kingcupwall::gateway::sse::Splitter;
+use kingcupwall::rows::StoreMs;
 use kingcupwall::standin::gateway::{parts, route};
 use proptest::prelude::*;
 use rstest::rstest;
@@ -215,3 +217,40 @@
         prop_assert!(!splitter.is_within_event());
     }
 }
+
+#[test]
+fn entry_answer_largest_first() {
+    let router = |n: u8, capacity| RouterEntry {
+        front: format!("127.0.0.{n}:80").parse().unwrap(),
+        zone: "a".into(),
+        leaving: false,
+        rate: 50,
+        capacity,
+    };
+    let routers = vec![router(1, 50), router(2, 50), router(3, 200), router(4, 50)];
+    let view = EntryView { routers, ready: true };
+    let answer: Vec<String> = view.answer("a").iter().map(|a| a.ip().to_string()).collect();
+    // 200 requests a second and room for clumps: the large one and two of the small ones.
+    assert_eq!(answer, ["127.0.0.3", "127.0.0.1", "127.0.0.2"]);
+}
+
+/// All routers are cut from the store for eight seconds. Their rows are older than that when the
+/// first of them reads the table again, because none could be renewed. A router that took the
+/// others for gone would name only itself to callers, and each of sixty routers would do so.
+#[test]
+fn reads_stale_after_cut_of_all() {
+    let mut reads = Reads::default();
+    let usual = reads.stale_ms(StoreMs(1_000));
+    for ms in [1_000, 3_000, 5_000] {
+        reads.note(StoreMs(ms));
+        assert_eq!(reads.stale_ms(StoreMs(ms)), usual);
+    }
+    reads.note(StoreMs(13_400));
+    let last_beat = 4_900;
+    assert!(reads.stale_ms(StoreMs(13_400)) > 13_400 - last_beat);
+    // Whoever has not written by then is gone.
+    for ms in (15_400..25_000).step_by(2_000) {
+        reads.note(StoreMs(ms));
+    }
+    assert_eq!(reads.stale_ms(StoreMs(24_000)), usual);
+}
