--- /dev/null
+++ b/soak/src/faults.rs
@@ -0,0 +1,125 @@
+//! Which fault comes next: drawn from a seed, so that a seed gives the same series of faults.
+//! Faults overlap: each has a time of its own.
+
+use std::time::Duration;
+
+use fastrand::Rng;
+use kingcupwall::rows::Fault as StoreFault;
+use kingcupwall::standin::gateway::TargetFault;
+
+use crate::proxy::Mode;
+
+/// One thing that goes wrong, or that operators do.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Fault {
+    /// A router's calls to the store fail.
+    Store(usize, StoreFault, Duration),
+    /// The store drops its history of changes.
+    Compact,
+    /// A partition of the store answers nobody.
+    Partition(usize, Duration),
+    /// A router's link to the store.
+    StoreLink(usize, Mode, Duration),
+    /// All routers' links to the store.
+    AllStoreLinks(Mode, Duration),
+    /// A router's connections to the store are reset.
+    StoreReset(usize),
+    /// The link to a target.
+    TargetLink(usize, Mode, Duration),
+    /// A target's connections are reset.
+    TargetReset(usize),
+    /// The next requests of a target fail.
+    Target(usize, TargetFault),
+    /// A target leaves; another takes its place.
+    Replace(usize),
+    /// A router stands still.
+    Pause(usize, Duration),
+    /// A router is killed and started again after a while.
+    Kill(usize, Duration),
+    /// All routers are killed at once and started again.
+    KillAll(Duration),
+    /// A router is told to stop, and started again once it has.
+    Stop(usize),
+    /// A router is told that its settings changed.
+    Reload(usize),
+    /// An organisation's amount is raised.
+    TopUp(usize),
+    /// A new configuration without any difference for callers.
+    Configure,
+}
+
+/// What there is to break.
+#[derive(Clone, Copy, Debug)]
+pub struct Parts {
+    /// Routers.
+    pub routers: usize,
+    /// Targets.
+    pub targets: usize,
+    /// Organisations.
+    pub orgs: usize,
+}
+
+fn millis(rng: &mut Rng, from: u64, to: u64) -> Duration {
+    Duration::from_millis(rng.u64(from..to))
+}
+
+fn store_fault(rng: &mut Rng) -> StoreFault {
+    match rng.u8(..6) {
+        0 => StoreFault::Reject(503),
+        1 => StoreFault::Reject(429),
+        2 => StoreFault::Silent,
+        3 => StoreFault::Slow(millis(rng, 20, 800)),
+        4 => StoreFault::LoseAnswers,
+        _ => StoreFault::Late(millis(rng, 500, 6_000)),
+    }
+}
+
+fn mode(rng: &mut Rng) -> Mode {
+    match rng.u8(..4) {
+        0 => Mode::Delay(millis(rng, 5, 300)),
+        1 => Mode::CutForth,
+        2 => Mode::CutBack,
+        _ => Mode::Silent,
+    }
+}
+
+fn target_fault(rng: &mut Rng) -> TargetFault {
+    match rng.u8(..8) {
+        0 => TargetFault::Full,
+        1 => TargetFault::OtherTarget,
+        2 => TargetFault::Fails,
+        3 => TargetFault::LosesAnswer,
+        4 => TargetFault::Garbage,
+        5 => TargetFault::CutsBody,
+        6 => TargetFault::AnswersTwice,
+        _ => TargetFault::CutsStream(rng.u64(..20)),
+    }
+}
+
+/// The next fault, and the pause before it.
+pub fn next(rng: &mut Rng, parts: Parts) -> (Duration, Fault) {
+    let pause = millis(rng, 50, 600);
+    let router = rng.usize(..parts.routers);
+    let target = rng.usize(..parts.targets);
+    let long = millis(rng, 300, 5_000);
+    let fault = match rng.u8(..40) {
+        0..=4 => Fault::Store(router, store_fault(rng), long),
+        5 => Fault::Compact,
+        6 | 7 => Fault::Partition(rng.usize(..parts.orgs), long),
+        8..=10 => Fault::StoreLink(router, mode(rng), long),
+        11 => Fault::AllStoreLinks(mode(rng), long),
+        12 => Fault::StoreReset(router),
+        13..=15 => Fault::TargetLink(target, mode(rng), long),
+        16 | 17 => Fault::TargetReset(target),
+        18..=27 => Fault::Target(target, target_fault(rng)),
+        28 => Fault::Replace(target),
+        29 | 30 => Fault::Pause(router, millis(rng, 100, 3_000)),
+        31..=33 => Fault::Kill(router, millis(rng, 10, 1_500)),
+        34 => Fault::KillAll(millis(rng, 10, 1_500)),
+        35 | 36 => Fault::Stop(router),
+        37 => Fault::Reload(router),
+        38 => Fault::TopUp(rng.usize(..parts.orgs)),
+        _ => Fault::Configure,
+    };
+    (pause, fault)
+}
--- /dev/null
+++ b/soak/src/main.rs
@@ -0,0 +1,85 @@
+//! `kingcupwall-soak`: one or more seeds, one after the other. Exits with 1 if one failed.
+
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+use std::time::Duration;
+
+use bpaf::Bpaf;
+use eyre::{Result, WrapErr, eyre};
+use kingcupwall_soak::run::{Setup, run};
+use tokio::task::LocalSet;
+
+/// Run the daemon under random faults and check what callers see
+///
+/// Example: kingcupwall-soak --seeds 50 --seconds 20
+#[derive(Clone, Debug, Bpaf)]
+#[bpaf(options)]
+struct Args {
+    /// First seed; without it a fresh one
+    #[bpaf(argument("N"))]
+    seed: Option<u64>,
+    /// How many seeds, counted up from the first
+    #[bpaf(argument("N"), fallback(1))]
+    seeds: u64,
+    /// How long faults go on for each seed, in seconds
+    #[bpaf(argument("S"), fallback(20))]
+    seconds: u64,
+    /// Routers, two in each availability zone
+    #[bpaf(argument("N"), fallback(4))]
+    routers: u8,
+    /// Callers
+    #[bpaf(argument("N"), fallback(16))]
+    callers: u32,
+    /// Seeds that failed once, a line each, as in soak/seeds.txt; played instead of others
+    #[bpaf(argument("FILE"))]
+    again: Option<PathBuf>,
+    /// The daemon; beside this program by default
+    #[bpaf(argument("FILE"))]
+    daemon: Option<PathBuf>,
+}
+
+fn main() -> Result<ExitCode> {
+    let args = args().run();
+    let first = args.seed.unwrap_or_else(|| fastrand::u64(..1_000_000_000));
+    let beside = std::env::current_exe()?.with_file_name("kingcupwall-platform");
+    let daemon = args.daemon.unwrap_or(beside);
+    let rt = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    let plays = match &args.again {
+        Some(file) => read_plays(file)?,
+        None => (first..first + args.seeds).map(|s| (s, args.seconds, args.routers)).collect(),
+    };
+    let mut failed = Vec::new();
+    for (seed, seconds, routers) in plays {
+        let setup = Setup {
+            seed,
+            faults_for: Duration::from_secs(seconds),
+            routers,
+            callers: args.callers,
+            daemon: daemon.clone(),
+        };
+        let report = LocalSet::new().block_on(&rt, run(&setup))?;
+        println!("{report}");
+        if !report.violations.is_empty() {
+            println!("  logs of the routers: {}", report.logs.display());
+            failed.push(seed);
+        }
+    }
+    println!("failed={failed:?}");
+    Ok(if failed.is_empty() { ExitCode::SUCCESS } else { ExitCode::FAILURE })
+}
+
+/// Reads seed, seconds and routers of each line; what follows them is the cause.
+fn read_plays(file: &Path) -> Result<Vec<(u64, u64, u8)>> {
+    let text = std::fs::read_to_string(file).wrap_err_with(|| file.display().to_string())?;
+    let lines = text.lines().enumerate();
+    let plays = lines.filter(|(_, l)| !l.is_empty() && !l.starts_with('#'));
+    plays
+        .map(|(n, l)| read_play(l).ok_or_else(|| eyre!("{}:{}: {l}", file.display(), n + 1)))
+        .collect()
+}
+
+fn read_play(line: &str) -> Option<(u64, u64, u8)> {
+    let mut words = line.split(' ');
+    let mut number = || words.next()?.parse::<u64>().ok();
+    Some((number()?, number()?, u8::try_from(number()?).ok()?))
+}
--- /dev/null
+++ b/soak/src/routers.rs
@@ -0,0 +1,148 @@
+//! Routers as separate processes: started, signalled, ended. Only processes that were started
+//! here are ever signalled, by their ids.
+
+use std::fs::File;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::{ExitStatus, Stdio};
+use std::time::Duration;
+
+use compact_str::{CompactString, format_compact};
+use eyre::{Result, WrapErr};
+use rustix::process::{Pid, Signal, kill_process};
+use tokio::net::TcpStream;
+use tokio::process::{Child, Command};
+use tokio::time::{sleep, timeout};
+
+/// Seconds from the order to stop to the forced end.
+pub const GRACE_S: u64 = 8;
+/// Looks whether a process listens, at most, and the pause between two.
+const LOOKS: u32 = 200;
+const LOOK: Duration = Duration::from_millis(10);
+/// Ports of a router at an address of its own.
+const FRONT: u16 = 8227;
+const READY: u16 = 8220;
+const DIRECTORY: u16 = 8224;
+
+/// One place for a router process.
+pub struct Router {
+    /// Its name.
+    pub name: CompactString,
+    /// Its address.
+    pub ip: CompactString,
+    /// Its availability zone.
+    pub zone: CompactString,
+    settings: PathBuf,
+    log: PathBuf,
+    daemon: PathBuf,
+    child: Option<Child>,
+}
+
+impl Router {
+    /// A place whose processes reach the store at `store`. Nothing is started yet.
+    ///
+    /// # Errors
+    /// Those of writing the settings file.
+    pub fn new(
+        dir: &Path,
+        daemon: &Path,
+        ip: &str,
+        n: u8,
+        zone: &str,
+        store: SocketAddr,
+    ) -> Result<Router> {
+        let name = format_compact!("router-{n}");
+        let settings = dir.join(format!("{name}.yaml"));
+        let text = format!(
+            "node: {name}\nrole: router\nip: {ip}\nzone: {zone}\nlisten:\n  front: {ip}:{FRONT}\n  \
+             ready: {ip}:{READY}\n  directory: {ip}:{DIRECTORY}\ninternal_ports: [7340, 7355]\n\
+             limits: {{ memory_mb: 110, max_fds: 4100, cpu_share: 0.25, link_mbps: 1000 }}\n\
+             bounds: {{ grace_s: {GRACE_S}, retry_budget_ratio: 0.2, retry_slack: 52 }}\n\
+             platform: {{ address: \"{store}\" }}\n"
+        );
+        std::fs::write(&settings, text).wrap_err("settings file")?;
+        Ok(Router {
+            log: dir.join(format!("{name}.log")),
+            name,
+            ip: ip.into(),
+            zone: zone.into(),
+            settings,
+            daemon: daemon.into(),
+            child: None,
+        })
+    }
+
+    /// Where it says which routers callers should use.
+    pub fn directory(&self) -> SocketAddr {
+        format!("{}:{DIRECTORY}", self.ip).parse().expect("an address")
+    }
+
+    /// Whether a process runs here.
+    pub fn is_up(&self) -> bool {
+        self.child.is_some()
+    }
+
+    /// Starts a process.
+    ///
+    /// # Errors
+    /// Those of starting it.
+    pub fn start(&mut self) -> Result<()> {
+        let log = File::options().create(true).append(true).open(&self.log)?;
+        let child = Command::new(&self.daemon)
+            .env("KINGCUPWALL_CONFIG", &self.settings)
+            .stdin(Stdio::null())
+            .stdout(log.try_clone()?)
+            .stderr(log)
+            .kill_on_drop(true)
+            .spawn()
+            .wrap_err_with(|| self.daemon.display().to_string())?;
+        self.child = Some(child);
+        Ok(())
+    }
+
+    /// Sends a signal to the process, if one runs.
+    pub fn signal(&self, signal: Signal) {
+        let id = self.child.as_ref().and_then(Child::id);
+        let pid = id.and_then(|id| Pid::from_raw(i32::try_from(id).ok()?));
+        if let Some(pid) = pid {
+            // A process that has just ended needs no signal.
+            let _ = kill_process(pid, signal);
+        }
+    }
+
+    /// Waits until the process listens: from then on it takes every signal. Before it runs its
+    /// own code no program can.
+    pub async fn listens(&self) {
+        for _ in 0..LOOKS {
+            if TcpStream::connect(self.directory()).await.is_ok() {
+                return;
+            }
+            sleep(LOOK).await;
+        }
+    }
+
+    /// Kills the process and waits for its end.
+    pub async fn kill(&mut self) {
+        if let Some(mut child) = self.child.take() {
+            // It may have ended by itself.
+            let _ = child.kill().await;
+        }
+    }
+
+    /// Asks the process to stop, and ends it by force after the grace time. Returns whether it
+    /// ended by itself in time.
+    pub async fn stop(&mut self) -> bool {
+        self.signal(Signal::TERM);
+        let Some(mut child) = self.child.take() else { return true };
+        let ended = timeout(Duration::from_secs(GRACE_S), child.wait()).await.is_ok();
+        if !ended {
+            let _ = child.kill().await;
+        }
+        ended
+    }
+
+    /// How the process ended, if it did though nobody ended it.
+    pub fn crashed(&mut self) -> Option<ExitStatus> {
+        self.child.as_mut()?.try_wait().ok().flatten()
+    }
+}
--- /dev/null
+++ b/soak/src/run.rs
@@ -0,0 +1,412 @@
+//! One seed from start to end.
+
+use std::cell::{Cell, RefCell};
+use std::fmt;
+use std::path::{Path, PathBuf};
+use std::rc::Rc;
+use std::time::Duration;
+
+use compact_str::{CompactString, format_compact};
+use eyre::{Result, WrapErr, eyre};
+use fastrand::Rng;
+use kingcupwall::allowance::Ledger;
+use kingcupwall::rows::{Fault as StoreFault, MemoryRows, RowStore};
+use kingcupwall::standin::gateway::{Seen, StandinTarget, TOKENS_PER_EVENT, TargetNames};
+use kingcupwall_platform::names;
+use rustix::process::Signal;
+use serde_json::json;
+use tokio::net::TcpListener;
+use tokio::sync::Mutex;
+use tokio::task::spawn_local;
+use tokio::time::{Instant, sleep, timeout_at};
+
+use crate::callers::{Asked, Callers, HOST, SEAL, call_on};
+use crate::checks::check;
+use crate::faults::{Fault, Parts, next};
+use crate::proxy::{Mode, Proxy};
+use crate::routers::{GRACE_S, Router};
+use crate::store;
+
+/// Targets of the only service.
+const TARGETS: usize = 4;
+/// Organisations, and what each has: the first runs out, the last does not.
+const PREPAID: [u64; 3] = [40_000, 400_000, 40_000_000];
+/// What a raise adds.
+const TOP_UP: u64 = 5_000;
+/// Pause between two events of a stream.
+const EVENT_GAP: Duration = Duration::from_millis(4);
+/// How long routers may take to serve after their start.
+const START: Duration = Duration::from_secs(20);
+/// Time without faults before the last requests: the longest fault, and a stop by force.
+const SETTLE: Duration = Duration::from_secs(GRACE_S + 4);
+/// Time in which the last requests are counted.
+const CALM: Duration = Duration::from_secs(3);
+/// Pause between two looks at the ledgers.
+const AUDIT: Duration = Duration::from_millis(200);
+
+/// A soak.
+#[derive(Clone, Debug)]
+pub struct Setup {
+    /// The seed of its faults and requests.
+    pub seed: u64,
+    /// How long faults go on.
+    pub faults_for: Duration,
+    /// Routers.
+    pub routers: u8,
+    /// Callers.
+    pub callers: u32,
+    /// The daemon.
+    pub daemon: PathBuf,
+}
+
+/// What came of it.
+#[derive(Clone, Debug)]
+pub struct Report {
+    /// The seed.
+    pub seed: u64,
+    /// Requests by how they ended: whole successes, refusals, all.
+    pub counts: (usize, usize, usize),
+    /// Faults.
+    pub faults: u32,
+    /// Everything that did not hold.
+    pub violations: Vec<String>,
+    /// Where the routers' logs are; kept only if something did not hold.
+    pub logs: PathBuf,
+}
+
+impl fmt::Display for Report {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let (whole, refused, all) = self.counts;
+        write!(
+            f,
+            "seed={} faults={} requests={all} whole={whole} refused={refused} violations={}",
+            self.seed,
+            self.faults,
+            self.violations.len()
+        )?;
+        self.violations.iter().try_for_each(|v| write!(f, "\n  {v}"))
+    }
+}
+
+/// Everything that runs.
+struct World {
+    store: MemoryRows,
+    handles: Vec<MemoryRows>,
+    store_links: Vec<Proxy>,
+    routers: Vec<Mutex<Router>>,
+    targets: RefCell<Vec<(StandinTarget, Proxy)>>,
+    /// Targets that have left; what they ran still counts.
+    gone: RefCell<Vec<StandinTarget>>,
+    callers: Rc<Callers>,
+    prepaid: RefCell<Vec<u64>>,
+    version: Cell<u64>,
+    replaced: Cell<u64>,
+    found: RefCell<Vec<String>>,
+    ip: CompactString,
+}
+
+/// Plays one seed.
+///
+/// # Errors
+/// Those of starting; what did not hold is in the report.
+pub async fn run(setup: &Setup) -> Result<Report> {
+    let dir = std::env::temp_dir().join(format!("kingcupwall-soak-{}", std::process::id()));
+    let logs = dir.join(setup.seed.to_string());
+    std::fs::create_dir_all(&logs).wrap_err("directory for logs")?;
+    let world = World::start(setup, &logs).await?;
+    spawn_local(world.clone().audit());
+    for n in 0..setup.callers {
+        spawn_local(call_on(world.callers.clone(), n, setup.seed ^ u64::from(n + 1)));
+    }
+    let faults = world.break_for(setup).await;
+    sleep(SETTLE).await;
+    world.check_calm().await;
+    world.callers.over.set(true);
+    for router in &world.routers {
+        let mut router = router.lock().await;
+        if let Some(status) = router.crashed() {
+            world.note(format!("{} ended by itself: {status}", router.name));
+        }
+        router.kill().await;
+    }
+    let report = world.report(setup.seed, faults, logs);
+    if report.violations.is_empty() {
+        std::fs::remove_dir_all(&report.logs)?;
+    }
+    Ok(report)
+}
+
+impl World {
+    async fn start(setup: &Setup, logs: &Path) -> Result<Rc<World>> {
+        let own = u16::try_from(std::process::id() % 60_000).unwrap_or_default() + 2_000;
+        // A network of this soak's own on the loopback: others do not use its addresses.
+        let ip = format_compact!("127.{}.{}", own / 250 + 1, own % 250 + 1);
+        let store = MemoryRows::new();
+        let (mut handles, mut store_links, mut routers) = (Vec::new(), Vec::new(), Vec::new());
+        for n in 0..setup.routers {
+            let handle = store.another();
+            let listener = TcpListener::bind((format!("{ip}.250"), 0)).await?;
+            let link = Proxy::start(&format!("{ip}.251"), listener.local_addr()?).await?;
+            spawn_local(store::serve(listener, handle.clone()));
+            let (at, zone) = (format!("{ip}.{}", n + 1), format!("zone-{}", n / 2 % 2));
+            let router = Router::new(logs, &setup.daemon, &at, n, &zone, link.addr)?;
+            handles.push(handle);
+            store_links.push(link);
+            routers.push(router);
+        }
+        let callers = Callers {
+            directories: routers.iter().map(Router::directory).collect(),
+            keys: (0..PREPAID.len()).map(|n| format_compact!("key-{n}")).collect(),
+            seen: RefCell::default(),
+            over: Cell::new(false),
+        };
+        let world = Rc::new(World {
+            store,
+            handles,
+            store_links,
+            routers: routers.into_iter().map(Mutex::new).collect(),
+            targets: RefCell::default(),
+            gone: RefCell::default(),
+            callers: Rc::new(callers),
+            prepaid: RefCell::new(PREPAID.to_vec()),
+            version: Cell::new(0),
+            replaced: Cell::new(0),
+            found: RefCell::default(),
+            ip,
+        });
+        world.configure();
+        for n in 0..TARGETS {
+            world.add_target(n).await?;
+        }
+        for router in &world.routers {
+            router.lock().await.start()?;
+        }
+        world.wait_until_serving().await?;
+        Ok(world)
+    }
+
+    async fn wait_until_serving(&self) -> Result<()> {
+        let until = Instant::now() + START;
+        let asked = async {
+            loop {
+                let page = self.store.scan("routers", "").await;
+                if page.is_ok_and(|p| p.rows.len() == self.routers.len()) {
+                    return;
+                }
+                sleep(AUDIT).await;
+            }
+        };
+        timeout_at(until, asked).await.map_err(|_| eyre!("the routers do not start"))
+    }
+
+    fn note(&self, violation: String) {
+        self.found.borrow_mut().push(violation);
+    }
+
+    /// Writes a configuration with the amounts as they stand.
+    fn configure(&self) {
+        self.version.set(self.version.get() + 3);
+        let kind = |a: Asked| match a {
+            Asked::Safe => "idempotent",
+            Asked::Once => "non_idempotent",
+            Asked::Stream | Asked::Resumable => "streaming",
+        };
+        let route = |a: Asked| {
+            json!({"name": a.prefix().trim_matches('/'), "host": HOST, "prefix": a.prefix(),
+                "kind": kind(a), "timeout_ms": 3_500, "target_latency_ms": 400,
+                "gap_aim_ms": 200, "priority": 1, "service": "model", "public": false,
+                "max_attempts": if a.repeats() { 2 } else { 1 },
+                "resumable": a == Asked::Resumable})
+        };
+        let prepaid = self.prepaid.borrow();
+        let organisation = |(n, prepaid): (usize, &u64)| json!({"name": format!("org-{n}"), "api_keys": [format!("key-{n}")], "prepaid": prepaid});
+        let config = json!({
+            "version": self.version.get(),
+            "routes": Asked::ALL.map(route),
+            "services": [{"name": "model", "max_connections": 300,
+                "engine": {"slots": 64, "kv_capacity": 200_000, "stride": TOKENS_PER_EVENT}}],
+            "tenants": prepaid.iter().enumerate().map(organisation).collect::<Vec<_>>(),
+        });
+        self.store.put(names::CONFIG.0, names::CONFIG.1, config.to_string().as_bytes());
+    }
+
+    async fn add_target(&self, n: usize) -> Result<()> {
+        let id = format_compact!("t{n}-{}", self.replaced.get());
+        let zone = format!("zone-{}", n % 2);
+        let headers = TargetNames { headers: names::headers(), seal: SEAL.into() };
+        let target = StandinTarget::start_named(&id, "model", &zone, headers).await?;
+        target.set_event_gap(EVENT_GAP);
+        let link = Proxy::start(&format!("{}.252", self.ip), target.addr).await?;
+        let row = json!({"service": "model", "address": link.addr, "zone": zone, "slots": 64,
+            "state": "ready", "warmup_left_ms": 0, "sequence": 1});
+        self.store.put(names::TARGETS, &id, row.to_string().as_bytes());
+        let mut targets = self.targets.borrow_mut();
+        if n < targets.len() {
+            let (old, _) = std::mem::replace(&mut targets[n], (target, link));
+            self.store.remove(names::TARGETS, &old.id);
+            self.gone.borrow_mut().push(old);
+        } else {
+            targets.push((target, link));
+        }
+        Ok(())
+    }
+
+    /// Breaks things for the time of the setup. Returns how many.
+    async fn break_for(self: &Rc<World>, setup: &Setup) -> u32 {
+        let mut rng = Rng::with_seed(setup.seed);
+        let parts = Parts { routers: self.routers.len(), targets: TARGETS, orgs: PREPAID.len() };
+        let until = Instant::now() + setup.faults_for;
+        let mut faults = 0;
+        loop {
+            let (pause, fault) = next(&mut rng, parts);
+            if Instant::now() + pause > until {
+                return faults;
+            }
+            sleep(pause).await;
+            faults += 1;
+            spawn_local(self.clone().strike(fault));
+        }
+    }
+
+    async fn strike(self: Rc<World>, fault: Fault) {
+        match fault {
+            Fault::Store(r, fault, d) => {
+                self.handles[r].set_fault(fault);
+                sleep(d).await;
+                self.handles[r].set_fault(StoreFault::None);
+            }
+            Fault::Compact => self.store.compact(),
+            Fault::Partition(org, d) => {
+                self.store.set_silent(&[&format!("org-{org}")]);
+                sleep(d).await;
+                self.store.set_silent(&[]);
+            }
+            Fault::StoreLink(r, mode, d) => through(&self.store_links[r], mode, d).await,
+            Fault::AllStoreLinks(mode, d) => {
+                self.store_links.iter().for_each(|l| l.set(mode));
+                sleep(d).await;
+                self.store_links.iter().for_each(|l| l.set(Mode::Pass));
+            }
+            Fault::StoreReset(r) => self.store_links[r].reset(),
+            Fault::TargetLink(t, mode, d) => {
+                let link = self.targets.borrow()[t].1.clone();
+                through(&link, mode, d).await;
+            }
+            Fault::TargetReset(t) => self.targets.borrow()[t].1.reset(),
+            Fault::Target(t, fault) => self.targets.borrow()[t].0.fail(&[fault]),
+            Fault::Replace(t) => {
+                self.replaced.set(self.replaced.get() + 1);
+                if let Err(e) = self.add_target(t).await {
+                    self.note(format!("a target could not be started: {e}"));
+                }
+            }
+            Fault::Pause(r, d) => {
+                self.routers[r].lock().await.signal(Signal::STOP);
+                sleep(d).await;
+                self.routers[r].lock().await.signal(Signal::CONT);
+            }
+            Fault::Kill(r, down) => self.restart(r, down).await,
+            Fault::KillAll(down) => {
+                for r in 0..self.routers.len() {
+                    spawn_local(self.clone().restart_owned(r, down));
+                }
+            }
+            Fault::Stop(r) => {
+                let mut router = self.routers[r].lock().await;
+                // A paused process could not hear it.
+                router.signal(Signal::CONT);
+                router.listens().await;
+                router.stop().await;
+                self.start_again(&mut router);
+            }
+            Fault::Reload(r) => {
+                let router = self.routers[r].lock().await;
+                router.listens().await;
+                router.signal(Signal::HUP);
+            }
+            Fault::TopUp(org) => {
+                self.prepaid.borrow_mut()[org] += TOP_UP;
+                self.configure();
+            }
+            Fault::Configure => self.configure(),
+        }
+    }
+
+    async fn restart_owned(self: Rc<World>, r: usize, down: Duration) {
+        self.restart(r, down).await;
+    }
+
+    async fn restart(&self, r: usize, down: Duration) {
+        let mut router = self.routers[r].lock().await;
+        if let Some(status) = router.crashed() {
+            self.note(format!("{} ended by itself: {status}", router.name));
+        }
+        router.kill().await;
+        sleep(down).await;
+        self.start_again(&mut router);
+    }
+
+    fn start_again(&self, router: &mut Router) {
+        if let Err(e) = router.start() {
+            self.note(format!("{} could not be started: {e}", router.name));
+        }
+    }
+
+    /// Looks at the ledgers all the while: what is promised must never exceed what is prepaid.
+    async fn audit(self: Rc<World>) {
+        while !self.callers.over.get() {
+            for org in 0..PREPAID.len() {
+                let prepaid = self.prepaid.borrow()[org];
+                if let Some(committed) = self.committed(&format!("org-{org}")).await
+                    && committed > prepaid
+                {
+                    self.note(format!("organisation {org}: {committed} promised of {prepaid}"));
+                }
+            }
+            sleep(AUDIT).await;
+        }
+    }
+
+    async fn committed(&self, org: &str) -> Option<u64> {
+        // A partition that is silent is looked at the next time.
+        let page = self.store.scan("budgets", org).await.ok()?;
+        let value = page.rows.first()?.value.clone()?;
+        match Ledger::decode(&value) {
+            Ok(ledger) => Some(ledger.committed().0),
+            Err(e) => {
+                self.note(format!("{org}: the ledger cannot be read: {e}"));
+                None
+            }
+        }
+    }
+
+    /// Once all faults are over, requests of the organisation that has plenty are served.
+    async fn check_calm(&self) {
+        let before = self.callers.seen.borrow().len();
+        sleep(CALM).await;
+        let seen = self.callers.seen.borrow();
+        let rich: Vec<_> = seen[before..].iter().filter(|e| e.org == PREPAID.len() - 1).collect();
+        let served = rich.iter().filter(|e| e.status == Some(200) && e.whole).count();
+        if served * 2 <= rich.len() {
+            self.note(format!("calm again: {served} of {} requests served", rich.len()));
+        }
+    }
+
+    fn report(&self, seed: u64, faults: u32, logs: PathBuf) -> Report {
+        let seen = self.callers.seen.borrow();
+        let (targets, gone) = (self.targets.borrow(), self.gone.borrow());
+        let all = targets.iter().map(|(t, _)| t).chain(gone.iter());
+        let runs: Vec<Seen> = all.flat_map(StandinTarget::runs).collect();
+        let mut violations = check(&seen, &runs, &self.prepaid.borrow());
+        violations.extend(self.found.borrow().iter().cloned());
+        let whole = seen.iter().filter(|e| e.status == Some(200) && e.whole).count();
+        let refused = seen.iter().filter(|e| e.status == Some(503)).count();
+        Report { seed, counts: (whole, refused, seen.len()), faults, violations, logs }
+    }
+}
+
+async fn through(link: &Proxy, mode: Mode, d: Duration) {
+    link.set(mode);
+    sleep(d).await;
+    link.set(Mode::Pass);
+}
--- /dev/null
+++ b/soak/src/store.rs
@@ -0,0 +1,73 @@
+//! The platform's store over HTTP, for the routers of a soak.
+
+use kingcupwall::http1::Conn;
+use kingcupwall::rows::{MemoryRows, Page, RowStore, StoreError, StoreResult, Ver};
+use kingcupwall_platform::wire::{WirePage, WireTx};
+use reqwest::Url;
+use std::time::Duration;
+use tokio::net::TcpListener;
+use tokio::task::spawn_local;
+
+/// How long bytes to a router may stay unacknowledged.
+const SILENCE: Duration = Duration::from_secs(5);
+/// The longest call, in bytes.
+const MAX_CALL: u64 = 1024 * 1024;
+
+/// Serves a handle of the store, for ever. Its fault is that of the handle.
+pub async fn serve(listener: TcpListener, rows: MemoryRows) {
+    while let Ok((io, _)) = listener.accept().await {
+        let rows = rows.clone();
+        spawn_local(async move {
+            let Ok(mut conn) = Conn::new(io, SILENCE) else { return };
+            while let Ok(head) = conn.read_request(64 * 1024).await {
+                let Ok(Some(body)) = conn.read_body(head.body, MAX_CALL).await else { return };
+                // A lost answer shows as a connection that ends without one.
+                let Some(answer) = answer(&rows, &head.target, &body).await else { return };
+                if conn.write(&answer).await.is_err() {
+                    return;
+                }
+            }
+        });
+    }
+}
+
+async fn answer(rows: &MemoryRows, target: &str, body: &[u8]) -> Option<Vec<u8>> {
+    let url = Url::parse("http://store").ok()?.join(target).ok()?;
+    let field = |name: &str| {
+        let found = url.query_pairs().find(|(n, _)| n == name);
+        found.map(|(_, v)| v.into_owned()).unwrap_or_default()
+    };
+    let number = |name: &str| field(name).parse::<u64>().ok();
+    let outcome = match url.path() {
+        "/rows-tx" => commit(rows, body).await,
+        "/rows-get" => rows.scan(&field("table"), &field("part")).await,
+        "/rows-feed" => {
+            let wait = Duration::from_millis(number("wait_ms")?);
+            rows.feed(&field("table"), Ver(number("after")?), wait).await
+        }
+        _ => return Some(encode(404, Page::default())),
+    };
+    match outcome {
+        Ok(page) => Some(encode(200, page)),
+        Err(StoreError::Conflict(rows)) => Some(encode(412, Page { rows, ..Page::default() })),
+        Err(StoreError::HistoryGone) => Some(encode(410, Page::default())),
+        Err(StoreError::Rejected(status)) => Some(encode(status, Page::default())),
+        Err(StoreError::Unknown(_)) => None,
+    }
+}
+
+async fn commit(rows: &MemoryRows, body: &[u8]) -> StoreResult<Page> {
+    let wire: Option<WireTx> = serde_json::from_slice(body).ok();
+    let tx = wire.and_then(|w| w.into_tx().ok()).ok_or(StoreError::Rejected(400))?;
+    let done = rows.commit(&tx).await?;
+    Ok(Page { rows: Vec::new(), ver: done.ver, now: done.now })
+}
+
+fn encode(status: u16, page: Page) -> Vec<u8> {
+    let body = serde_json::to_string(&WirePage::from(page)).expect("a page is JSON");
+    let len = body.len();
+    format!(
+        "HTTP/1.1 {status} Stated\r\nContent-Type: application/json\r\nContent-Length: {len}\r\n\r\n{body}"
+    )
+    .into_bytes()
+}
--- a/src/standin/gateway.rs
+++ b/src/standin/gateway.rs
@@ -256,21 +256,46 @@
     pub zone: CompactString,
     /// Its address.
     pub addr: SocketAddr,
+    names: Rc<TargetNames>,
     shared: Rc<RefCell<Shared>>,
 }
 
+/// Names of headers that a target reads and writes.
+#[derive(Clone, Debug)]
+pub struct TargetNames {
+    /// Those it shares with routers.
+    pub headers: Names,
+    /// The header that proves whose answer it is.
+    pub seal: CompactString,
+}
+
 impl StandinTarget {
     /// Starts a target.
     ///
     /// # Errors
     /// Those of listening.
     pub async fn start(id: &str, service: &str, zone: &str) -> Result<StandinTarget> {
+        let names = TargetNames { headers: names(), seal: SEAL.into() };
+        StandinTarget::start_named(id, service, zone, names).await
+    }
+
+    /// Starts a target that uses other names of headers.
+    ///
+    /// # Errors
+    /// Those of listening.
+    pub async fn start_named(
+        id: &str,
+        service: &str,
+        zone: &str,
+        names: TargetNames,
+    ) -> Result<StandinTarget> {
         let listener = TcpListener::bind("127.0.0.1:0").await?;
         let target = StandinTarget {
             id: id.into(),
             service: service.into(),
             zone: zone.into(),
             addr: listener.local_addr()?,
+            names: Rc::new(names),
             shared: Rc::default(),
         };
         let serving = target.clone();
@@ -314,14 +339,16 @@
 
     /// Answers one request. Returns whether the connection goes on.
     async fn answer(&self, conn: &mut Conn, head: &RequestHead, body: Bytes) -> bool {
-        let id: CompactString = header(&head.headers, REQUEST_ID).unwrap_or_default().into();
-        let expected = header(&head.headers, EXPECT_TARGET);
+        let names = &self.names.headers;
+        let id: CompactString = header(&head.headers, &names.request_id).unwrap_or_default().into();
+        let expected = header(&head.headers, &names.expect_target);
         let fault = self.shared.borrow_mut().faults.pop_front();
         if fault == Some(TargetFault::OtherTarget) || expected != Some(self.id.as_str()) {
-            return write(conn, &short(421, &id, "", "")).await;
+            return write(conn, &self.short(421, &id, "", "")).await;
         }
         if fault == Some(TargetFault::Full) {
-            return write(conn, &short(503, &id, &format!("{NOT_RUN}: 1\r\n"), "")).await;
+            return write(conn, &self.short(503, &id, &format!("{}: 1\r\n", names.not_run), ""))
+                .await;
         }
         let seen = Seen {
             id: id.clone(),
@@ -330,10 +357,10 @@
             body,
         };
         self.shared.borrow_mut().runs.push(seen);
-        let seal = format!("{SEAL}: {}.{id}\r\n", self.id);
+        let seal = format!("{}: {}.{id}\r\n", self.names.seal, self.id);
         let text = format!("answer of {} to {id}", self.id);
         match fault {
-            Some(TargetFault::Fails) => write(conn, &short(500, &id, &seal, "failed")).await,
+            Some(TargetFault::Fails) => write(conn, &self.short(500, &id, &seal, "failed")).await,
             Some(TargetFault::LosesAnswer) => false,
             Some(TargetFault::Hangs) => {
                 conn.closed().await;
@@ -345,19 +372,19 @@
                 false
             }
             Some(TargetFault::CutsBody) => {
-                let whole = short(200, &id, &seal, &text);
+                let whole = self.short(200, &id, &seal, &text);
                 write(conn, &whole[..whole.len() - 3]).await;
                 false
             }
             Some(TargetFault::AnswersTwice) => {
-                let mut both = short(200, &id, &seal, &text);
-                both.extend(short(200, "someone-else", &seal, "not for you"));
+                let mut both = self.short(200, &id, &seal, &text);
+                both.extend(self.short(200, "someone-else", &seal, "not for you"));
                 write(conn, &both).await
             }
             _ if head.target.starts_with("/stream/") || head.target.starts_with("/resumable/") => {
                 self.stream(conn, head, &id, &seal, fault).await
             }
-            _ => write(conn, &short(200, &id, &seal, &text)).await,
+            _ => write(conn, &self.short(200, &id, &seal, &text)).await,
         }
     }
 
@@ -369,12 +396,15 @@
         seal: &str,
         fault: Option<TargetFault>,
     ) -> bool {
-        let counts = header(&head.headers, TOKEN_COUNTS).and_then(|v| v.split_once(','));
+        let names = &self.names.headers;
+        let counts = header(&head.headers, &names.token_counts).and_then(|v| v.split_once(','));
         let output: u64 = counts.and_then(|(_, o)| o.trim().parse().ok()).unwrap_or(10);
-        let from: u64 = header(&head.headers, LAST_EVENT).and_then(|v| v.parse().ok()).unwrap_or(0);
+        let last = header(&head.headers, &names.last_event_id);
+        let from: u64 = last.and_then(|v| v.parse().ok()).unwrap_or(0);
         let start = format!(
-            "HTTP/1.1 200 OK\r\n{REQUEST_ID}: {id}\r\n{seal}Content-Type: text/event-stream\r\n\
-             Transfer-Encoding: chunked\r\n\r\n"
+            "HTTP/1.1 200 OK\r\n{}: {id}\r\n{seal}Content-Type: text/event-stream\r\n\
+             Transfer-Encoding: chunked\r\n\r\n",
+            names.request_id
         );
         if !write(conn, start.as_bytes()).await {
             return false;
@@ -399,20 +429,20 @@
         }
         write(conn, b"0\r\n\r\n").await
     }
+
+    fn short(&self, status: u16, id: &str, headers: &str, body: &str) -> Vec<u8> {
+        let (name, len) = (&self.names.headers.request_id, body.len());
+        format!(
+            "HTTP/1.1 {status} Stated\r\n{name}: {id}\r\n{headers}Content-Length: {len}\r\n\r\n{body}"
+        )
+        .into_bytes()
+    }
 }
 
 async fn write(conn: &mut Conn, bytes: &[u8]) -> bool {
     conn.write(bytes).await.is_ok()
 }
 
-fn short(status: u16, id: &str, headers: &str, body: &str) -> Vec<u8> {
-    let len = body.len();
-    format!(
-        "HTTP/1.1 {status} Stated\r\n{REQUEST_ID}: {id}\r\n{headers}Content-Length: {len}\r\n\r\n{body}"
-    )
-    .into_bytes()
-}
-
 /// Settings of a gateway for the stand-ins: everything on loopback, a short stop.
 pub fn settings(instance: &str, zone: &str, front: SocketAddr) -> crate::gateway::Settings {
     crate::gateway::Settings {
