--- a/src/allowance/mod.rs
+++ b/src/allowance/mod.rs
@@ -7,6 +7,7 @@
 //! spent, and what lies above the line goes back to the organisation.
 
 mod account;
+mod calls;
 mod keeper;
 mod ledger;
 mod line;
--- a/src/gateway/members.rs
+++ b/src/gateway/members.rs
@@ -11,6 +11,7 @@
 
 use super::entry::RouterEntry;
 use super::state::{Gateway, Phase, Platform};
+use crate::error::{Error, Kind, Result};
 use crate::rows::{Page, Row, RowKey, StoreMs, Tx};
 
 /// The table of routers.
@@ -37,8 +38,10 @@
 }
 
 impl Entry {
-    fn decode(row: &Row) -> Option<Entry> {
-        ciborium::from_reader(row.value.as_deref()?).ok()
+    fn decode(row: &Row) -> Result<Entry> {
+        let value = row.value.as_deref().unwrap_or_default();
+        ciborium::from_reader(value)
+            .map_err(|e| Error::new(Kind::BadFormat, format!("router's row: {e}")))
     }
 
     fn encode(&self) -> Bytes {
@@ -126,11 +129,19 @@
 
 fn take<P: Platform>(gw: &Gateway<P>, page: &Page, stale_ms: u64) {
     let others = page.rows.iter().filter(|r| r.at.key != gw.settings.instance);
-    let entries: Vec<(Entry, u64)> = others
-        .filter_map(Entry::decode)
-        .map(|e| (page.now.0.saturating_sub(e.beat.0), e))
-        .map(|(age, e)| (e, age))
-        .collect();
+    let readable = |row: &Row| match Entry::decode(row) {
+        Ok(e) => {
+            let age = page.now.0.saturating_sub(e.beat.0);
+            Some((e, age))
+        }
+        Err(e) => {
+            // The others are known all the same; callers are not sent to this one.
+            let key = &row.at.key;
+            gw.log.routine("members", format_args!("instance={key} outcome=unreadable error={e}"));
+            None
+        }
+    };
+    let entries: Vec<(Entry, u64)> = others.filter_map(readable).collect();
     let live: Vec<RouterEntry> = entries
         .iter()
         .filter(|(_, age)| *age < stale_ms)
