--- a/src/budget/holder.rs
+++ b/src/budget/holder.rs
@@ -3,7 +3,9 @@
 use std::collections::VecDeque;
 
 use super::ledger::{Bill, BudgetRow, Change, GrantRow, Seen};
-use super::sizing::{Need, Rate, Sizing};
+pub use super::pocket::Cover;
+use super::pocket::{Hold, PendingBill, Pocket, Waiting};
+use super::sizing::{Need, Sizing};
 use crate::error::Kind;
 use crate::ids::{BudgetId, Millis, Revision, Tokens};
 use crate::table::Version;
@@ -38,116 +40,6 @@
     pub revision: Revision,
 }
 
-/// Who covers a hold if this router dies.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum Cover {
-    /// A witness keeps a copy.
-    Witness,
-    /// Nobody: the tokens come out of the grant's solo part.
-    Solo,
-}
-
-#[derive(Clone, Debug)]
-struct Hold {
-    id: HoldId,
-    budget: BudgetId,
-    amount: Tokens,
-    cover: Cover,
-}
-
-#[derive(Clone, Copy, Debug)]
-struct Waiting {
-    ticket: HoldId,
-    amount: Tokens,
-    cover: Cover,
-}
-
-#[derive(Clone, Debug)]
-struct PendingBill {
-    hold: HoldId,
-    cover: Cover,
-    bill: Bill,
-}
-
-/// One budget as this router holds it.
-#[derive(Debug)]
-struct Pocket {
-    id: BudgetId,
-    budget: Seen<BudgetRow>,
-    grant: Seen<GrantRow>,
-    /// Whether `budget` and `grant` were read from the table at all.
-    known: bool,
-    limit: Limit,
-    held: Tokens,
-    /// Bills made but not recorded.
-    unrecorded: Tokens,
-    /// Held or billed without a witness, and not recorded.
-    solo_out: Tokens,
-    waiting: VecDeque<Waiting>,
-    pending: VecDeque<PendingBill>,
-    in_flight: Option<Change>,
-    /// The last change lost a race: it is made again at once, not with the next record.
-    retry: bool,
-    rate: Rate,
-    used: Millis,
-}
-
-impl Pocket {
-    fn new(id: BudgetId, now: Millis) -> Pocket {
-        Pocket {
-            id,
-            budget: Seen::default(),
-            grant: Seen::default(),
-            known: false,
-            limit: Limit::default(),
-            held: Tokens::ZERO,
-            unrecorded: Tokens::ZERO,
-            solo_out: Tokens::ZERO,
-            waiting: VecDeque::new(),
-            pending: VecDeque::new(),
-            in_flight: None,
-            retry: false,
-            rate: Rate::default(),
-            used: now,
-        }
-    }
-
-    /// What may still be held. Tokens that a change in flight gives back are already gone, and
-    /// those that it adds are not there yet: either way the smaller amount counts until the
-    /// table has answered.
-    fn free(&self) -> Tokens {
-        let releasing = self.in_flight.as_ref().map_or(Tokens::ZERO, |c| c.release);
-        let out = self.grant.row.settled.plus(self.unrecorded).plus(self.held);
-        self.grant.row.granted.minus(releasing).minus(out)
-    }
-
-    /// Guards against an older revision's larger amount after a lowering: overspend would show as
-    /// `committed` past the prepaid amount. The row names the revision of the last lowering, and
-    /// nothing is granted under an older one.
-    fn grantable(&self) -> Tokens {
-        if self.budget.row.floor > self.limit.revision { Tokens::ZERO } else { self.limit.prepaid }
-    }
-
-    fn can_hold(&self, amount: Tokens, cover: Cover) -> bool {
-        let solo_left = self.grant.row.solo.minus(self.solo_out);
-        amount <= self.free() && (cover == Cover::Witness || amount <= solo_left)
-    }
-
-    fn take(&mut self, amount: Tokens, cover: Cover) {
-        self.held = self.held.plus(amount);
-        if cover == Cover::Solo {
-            self.solo_out = self.solo_out.plus(amount);
-        }
-    }
-
-    fn is_empty(&self) -> bool {
-        self.held == Tokens::ZERO
-            && self.pending.is_empty()
-            && self.waiting.is_empty()
-            && self.in_flight.is_none()
-    }
-}
-
 /// The answer to a request for a hold.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Admit {
--- a/src/budget/mod.rs
+++ b/src/budget/mod.rs
@@ -7,6 +7,7 @@
 pub mod holder;
 pub mod keeper;
 pub mod ledger;
+mod pocket;
 pub mod reclaim;
 pub mod sizing;
 pub mod witness;
--- a/src/router/session.rs
+++ b/src/router/session.rs
@@ -1,5 +1,7 @@
 //! One incarnation of a router: its grants, its witness, its writes.
 
+mod loans;
+
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, RwLock};
 use std::time::Duration;
@@ -25,6 +27,7 @@
 use crate::membership::wire::{Ask, Mesh, Reply};
 use crate::table::committer::Committer;
 use crate::table::{Mutation, Platform, Version};
+use loans::SearchGate;
 
 /// How long a request waits for a grant before other routers are asked.
 const PATIENCE: Duration = Duration::from_millis(1_000);
@@ -32,11 +35,6 @@
 const SUSPICION: Duration = Duration::from_millis(2_000);
 /// How long a request waits for another witness when the one there is does not answer.
 const NEW_WITNESS: Duration = Duration::from_millis(500);
-/// Least time between two calls for the tokens of one budget.
-const SEARCH_PAUSE: Duration = Duration::from_millis(250);
-/// Pause between attempts to repay a borrowed hold.
-const REPAY_PAUSE: Duration = Duration::from_millis(200);
-
 /// News of a session for its router.
 #[derive(Debug)]
 pub enum News {
@@ -141,18 +139,6 @@
     searched: Mutex<Vec<(BudgetId, Arc<SearchGate>)>>,
 }
 
-/// Lets one call for a budget's tokens through at a time; who comes while one is due shares it.
-#[derive(Debug, Default)]
-struct SearchGate {
-    began: tokio::sync::Mutex<Option<Instant>>,
-}
-
-impl SearchGate {
-    fn is_recent(&self) -> bool {
-        self.began.try_lock().is_ok_and(|at| at.is_some_and(|at| at.elapsed() < SEARCH_PAUSE))
-    }
-}
-
 /// What a session is started with.
 pub struct SessionParts<P, M> {
     /// The platform.
@@ -450,75 +436,6 @@
         }
     }
 
-    async fn borrow(&self, purpose: &Purpose, lender: &Entry) -> Option<Held> {
-        let ask = Ask::Borrow {
-            budget: purpose.bill.budget.clone(),
-            amount: purpose.amount,
-            copy: purpose.copy(HoldId(0)),
-        };
-        let Ok(Reply::Held(hold)) = self.mesh.ask(lender, ask).await else { return None };
-        log::info!(
-            "borrow=held run={} budget={} from={}",
-            purpose.bill.run,
-            purpose.bill.budget,
-            lender.incarnation
-        );
-        Some(Held { hold, lender: Some(lender.clone()) })
-    }
-
-    /// Asks others to give back what they have free of a budget, so that its last tokens are not
-    /// lost in pockets too small for any request. Requests that need it at the same time share
-    /// one call, and calls keep a distance: an exhausted budget must not cost the table a write
-    /// for each request that it refuses.
-    async fn call_home(&self, budget: &BudgetId, others: &[Entry]) {
-        let gate = {
-            let mut searched = self.searched.lock().expect("never poisoned");
-            searched.retain(|(_, gate)| Arc::strong_count(gate) > 1 || gate.is_recent());
-            match searched.iter().find(|(b, _)| b == budget) {
-                Some((_, gate)) => gate.clone(),
-                None => {
-                    let gate: Arc<SearchGate> = Arc::default();
-                    searched.push((budget.clone(), gate.clone()));
-                    gate
-                }
-            }
-        };
-        let arrived = Instant::now();
-        let mut began = gate.began.lock().await;
-        if began.is_some_and(|at| at >= arrived) {
-            return;
-        }
-        if let Some(at) = *began {
-            tokio::time::sleep_until(at + SEARCH_PAUSE).await;
-        }
-        *began = Some(Instant::now());
-        let asked = others.iter().map(|o| self.mesh.ask(o, Ask::Release(budget.clone())));
-        futures_util::future::join_all(asked).await;
-    }
-
-    /// Tells a lender what became of its hold, until it knows. Repeats are harmless: a hold
-    /// settles once.
-    fn repay(self: &Arc<Self>, lender: Entry, hold: HoldId, bill: Option<Bill>) {
-        let mesh = self.mesh.clone();
-        tokio::spawn(async move {
-            const ATTEMPTS: u32 = 600;
-            for _ in 0..ATTEMPTS {
-                if mesh
-                    .ask(
-                        &lender,
-                        Ask::Repay { lender: lender.incarnation.clone(), hold, bill: bill.clone() },
-                    )
-                    .await
-                    .is_ok()
-                {
-                    return;
-                }
-                tokio::time::sleep(REPAY_PAUSE).await;
-            }
-            log::error!("repay=given_up lender={} hold={}", lender.incarnation, hold.0);
-        });
-    }
-
     /// Drops copies here and at the witness.
     pub async fn forget(&self, holds: &[HoldId]) {
         {
@@ -590,45 +507,6 @@
         self.committer.write(m).await?.ok_or_else(fenced).map(drop)
     }
 
-    /// Lends a hold to another router.
-    ///
-    /// # Errors
-    /// `BudgetExhausted` when there is no room, or as [`Session::cover`].
-    pub async fn lend(
-        self: &Arc<Self>,
-        budget: &BudgetId,
-        amount: Tokens,
-        mut copy: Copy,
-    ) -> Result<HoldId> {
-        let hold = self.hold(budget, amount, false).await?;
-        copy.hold = hold;
-        if let Err(e) = self.cover(copy).await {
-            self.undo(hold).await;
-            return Err(e);
-        }
-        Ok(hold)
-    }
-
-    /// A lent hold's run goes to another target.
-    ///
-    /// # Errors
-    /// As [`Session::cover`].
-    pub async fn lent_moved(&self, hold: HoldId, mut copy: Copy) -> Result<()> {
-        copy.hold = hold;
-        self.cover(copy).await
-    }
-
-    /// A lent hold's run ended.
-    pub async fn repaid(self: &Arc<Self>, hold: HoldId, bill: Option<Bill>) {
-        match bill {
-            None => self.undo(hold).await,
-            Some(bill) => {
-                let msg = Settle { hold, bill };
-                let _ = self.keeper.ask(msg).await;
-            }
-        }
-    }
-
     /// Gives back what is free of one budget.
     pub async fn release(&self, budget: BudgetId) {
         let _ = self.keeper.tell(Release(budget)).await;
