Targets that restart under their id, entries of other writers; engine timing is learnt

Now a line over tokens and pairs of tokens is fitted to the answers of a service, with a pace for each target; nothing is predicted before the first answer. Ruled out: more terms for running requests (own sends only, others' ends are not known).

--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -238,7 +238,7 @@
         target.set_event_gap(EVENT_GAP);
         let link = Proxy::start(&format!("{}.252", self.ip), target.addr).await?;
         let row = json!({"service": "model", "address": link.addr, "zone": zone, "slots": 64,
-            "state": "ready", "warmup_left_ms": 0, "sequence": 1});
+            "version": "v1", "state": "ready", "warmup_left_ms": 0, "sequence": 1});
         self.store.put(names::TARGETS, &id, row.to_string().as_bytes());
         let mut targets = self.targets.borrow_mut();
         if n < targets.len() {
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -362,9 +362,13 @@
         match place(&facts, &demand, &self.gw.settings.weights) {
             Placement::Send { index, predicted_ms } => {
                 let capacity = self.catalog.service(&self.service).and_then(|s| s.engine);
+                let chosen = &facts[index];
                 let plan = Planned {
                     engine,
-                    prefill_ms: facts[index].prefill_ms,
+                    prompt: self.facts.prompt,
+                    uncached: chosen.uncached,
+                    wait_ms: chosen.wait_ms,
+                    prefill_ms: chosen.prefill_ms,
                     predicted_ms,
                     cache_tokens: capacity.map_or(0, |e| e.kv_capacity / 2),
                 };
--- a/src/gateway/hints.rs
+++ b/src/gateway/hints.rs
@@ -17,6 +17,8 @@
 
 use super::request::Part;
 use super::state::{Gateway, Platform};
+use super::targets::Planned;
+use super::timing::Reading;
 use crate::ids::Digest;
 
 /// Placements of so long go into one datagram: a wake-up costs more than the bytes.
@@ -30,15 +32,16 @@
 /// The largest datagram that is read, in bytes.
 const MAX_DATAGRAM: usize = 2_048;
 /// Format of a datagram; others are ignored.
-const FORMAT: u8 = 1;
+const FORMAT: u8 = 2;
 
 /// One prompt on its way to a target.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 pub struct Hint {
     /// Digest of the target's id.
     target: u64,
-    /// Time for the part of the prompt that was not cached, ms.
-    prefill_ms: u32,
+    /// Tokens of the prompt, and those of them that were not cached.
+    prompt: u32,
+    uncached: u32,
     /// Shared parts, id and tokens.
     parts: Vec<(u64, u32)>,
 }
@@ -65,15 +68,17 @@
 
 impl Hints {
     /// Notes a placement of this router.
-    pub fn placed(&self, target: &str, prefill_ms: f64, parts: &[Part]) {
+    pub fn placed(&self, target: &str, plan: &Planned, parts: &[Part]) {
         let mut waiting = self.waiting.borrow_mut();
         if self.peers.borrow().is_empty() || waiting.len() >= 4 * MAX_PLACEMENTS {
             return;
         }
-        let parts = parts.iter().map(|p| (p.id, u32::try_from(p.tokens).unwrap_or(u32::MAX)));
+        let short = |tokens: u64| u32::try_from(tokens).unwrap_or(u32::MAX);
+        let parts = parts.iter().map(|p| (p.id, short(p.tokens)));
         waiting.push(Hint {
             target: target_word(target),
-            prefill_ms: prefill_ms as u32,
+            prompt: short(plan.prompt),
+            uncached: short(plan.uncached),
             parts: parts.collect(),
         });
         if waiting.len() == 1 {
@@ -136,7 +141,8 @@
                 .iter()
                 .map(|(id, tokens)| Part { id: *id, tokens: u64::from(*tokens) })
                 .collect();
-            gw.targets.hinted(hint.target, f64::from(hint.prefill_ms), &parts);
+            let reading = Reading::of(u64::from(hint.prompt), u64::from(hint.uncached));
+            gw.targets.hinted(hint.target, reading, &parts);
         }
     }
 }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -3,7 +3,7 @@
 //!
 //! Decisions are pure and stand in files of their own: [`catalog`] (route and organisation),
 //! [`place`] (which target, and whether at all), [`outcome`] (what may follow a failure),
-//! [`retries`] (whether the fleet can afford it), [`entry`] (which routers callers should use).
+//! [`retries`] (whether the fleet can afford it), [`timing`] (how fast engines are), [`entry`] (which routers callers should use).
 //! [`forward`] with its sends, [`relay`] and [`front`] carry them out.
 
 pub mod catalog;
@@ -25,9 +25,10 @@
 mod stats;
 pub mod sync;
 pub mod targets;
+pub mod timing;
 
 pub use catalog::{Catalog, CatalogParts, Limits, Organisation, Route, RouteKind, Service};
 pub use entry::EntryView;
 pub use request::Names;
 pub use state::{Gateway, Platform, Settings};
-pub use targets::{TargetInfo, TargetState};
+pub use targets::{StartedMs, TargetInfo, TargetState};
--- a/src/gateway/place.rs
+++ b/src/gateway/place.rs
@@ -7,8 +7,12 @@
 pub struct Candidate {
     /// In this router's availability zone.
     pub near: bool,
+    /// Tokens of its prompt that the target has not cached.
+    pub uncached: u64,
     /// Predicted time until the target begins with this request, ms.
     pub wait_ms: f64,
+    /// Time to a first token beside waiting and reading, ms.
+    pub base_ms: f64,
     /// Predicted time for the part of its prompt that the target has not cached, ms.
     pub prefill_ms: f64,
     /// Requests of this router that run there.
@@ -86,7 +90,7 @@
         return far / 20.0 + filled * 100.0 + c.rank as f64 * 0.01;
     }
     let rank = c.rank.min(4) as f64 * w.rank_ms;
-    c.wait_ms + c.prefill_ms * w.prefill + far + place + rank
+    c.wait_ms + c.base_ms + c.prefill_ms * w.prefill + far + place + rank
 }
 
 /// Chooses among `candidates`.
@@ -110,7 +114,7 @@
         return Placement::Send { index, predicted_ms: 0.0 };
     }
     let c = &candidates[index];
-    let predicted_ms = c.wait_ms + c.prefill_ms;
+    let predicted_ms = c.wait_ms + c.base_ms + c.prefill_ms;
     let bound = (demand.aim.as_secs_f64() * w.late_x).min(demand.left.as_secs_f64()) * 1_000.0;
     if predicted_ms > bound && c.wait_ms > 0.0 {
         let aim_ms = demand.aim.as_secs_f64() * 1_000.0;
--- a/src/gateway/send.rs
+++ b/src/gateway/send.rs
@@ -58,7 +58,7 @@
         }
         if plan.engine {
             let shared = shared_parts(&self.facts.parts);
-            self.gw.hints.placed(&target, plan.prefill_ms, shared);
+            self.gw.hints.placed(&target, plan, shared);
         }
         let outcome = self.answer(&mut link, &bytes, plan).await;
         match outcome {
@@ -201,11 +201,13 @@
                 self.gw.log.routine(
                     "placed",
                     format_args!(
-                        "id={id} route={} target={} predicted_ms={:.0} first_ms={} prompt={} most_output={} estimate={:?}",
+                        "id={id} route={} target={} wait_ms={:.0} predicted_ms={:.0} first_ms={} uncached={} prompt={} most_output={} estimate={:?}",
                         self.route.name,
                         backend.id(),
-                        flight.predicted_ms(),
+                        flight.plan().wait_ms,
+                        flight.plan().predicted_ms,
                         took.as_millis(),
+                        flight.plan().uncached,
                         self.facts.prompt,
                         self.facts.most_output,
                         self.facts.estimate,
--- a/src/gateway/sync.rs
+++ b/src/gateway/sync.rs
@@ -7,6 +7,7 @@
 
 use super::catalog::Catalog;
 use super::state::{Gateway, Platform, StoreLink};
+use super::targets::Change;
 use crate::rows::{Page, Row, StoreError, Ver};
 
 /// How long a feed waits for a change. Short, because a connection that has gone silent shows
@@ -141,13 +142,26 @@
                 "target={} service={} state={:?} zone={}",
                 info.id, info.service, info.state, info.zone
             );
-            if gw.targets.set(info) {
-                gw.log.note("target", format_args!("{line} ver={}", row.ver));
+            match gw.targets.set(info) {
+                Change::Same => (),
+                Change::New | Change::State => {
+                    gw.log.note("target", format_args!("{line} ver={}", row.ver));
+                }
+                change @ (Change::Restarted | Change::Outdated) => {
+                    gw.log.note("target", format_args!("{line} ver={} outcome={change:?}", row.ver))
+                }
             }
         }
-        Err(e) => gw
-            .log
-            .note("target", format_args!("target={} outcome=unreadable error={e}", row.at.key)),
+        // Something else wrote this entry, or its target is not what it was: sent to the address
+        // that was known before, requests could run at another service. The others hold.
+        Err(e) => {
+            gw.stats.entries_rejected.inc();
+            let known = gw.targets.remove(&row.at.key);
+            gw.log.note(
+                "target",
+                format_args!("target={} outcome=unreadable known={known} error={e}", row.at.key),
+            );
+        }
     }
 }
 
--- a/src/gateway/targets.rs
+++ b/src/gateway/targets.rs
@@ -13,6 +13,7 @@
 use super::place::Candidate;
 use super::pool::Pool;
 use super::request::Part;
+use super::timing::{FirstToken, Pace, Reading};
 use crate::ids::Digest;
 
 /// Failures in a row after which a target is doubtful.
@@ -24,20 +25,9 @@
 /// How long a target that said it is full is left alone. An engine's step takes some 10 ms; a
 /// slot becomes free every few steps.
 const FULL: Duration = Duration::from_millis(120);
-/// Tokens an engine reads in a ms until it was measured. Typical of 70 B models on the
-/// accelerators of today's deployments, steps of running requests included.
-const PREFILL_PER_MS: f64 = 33.0;
-/// Time to a first token without any prefill, ms.
-const FIRST_TOKEN_MS: f64 = 12.0;
-/// Weight of a new measurement in a moving average.
-const GAIN: f64 = 0.08;
 /// A prompt that should have been read so long ago is no longer counted on: its router may have
 /// taken it back without anyone hearing of it.
 const OVERDUE: Duration = Duration::from_secs(2);
-/// Prompts that take less than this, in ms, say nothing about an engine's speed.
-const LEAST_MEASURED_MS: f64 = 20.0;
-/// How far a target's measured speed may move from the usual one, either way.
-const SPEED_RANGE: (f64, f64) = (0.25, 2.0);
 
 /// Whether a target takes new work.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -65,6 +55,27 @@
     pub state: TargetState,
     /// How much longer it stays slow after its start.
     pub warm_up: Duration,
+    /// When it started, if it says so. A target may start again under the same id.
+    pub born: Option<StartedMs>,
+}
+
+/// When a target started, Unix ms by its own clock.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub struct StartedMs(pub u64);
+
+/// What an entry changed.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Change {
+    /// Nothing that matters here.
+    Same,
+    /// The target was unknown.
+    New,
+    /// Its state changed, or it was missing for a while.
+    State,
+    /// It started again under the id that it had: nothing of before holds for it.
+    Restarted,
+    /// It speaks of an earlier start than the one that is known.
+    Outdated,
 }
 
 #[derive(Debug)]
@@ -129,8 +140,8 @@
     read_by: Instant,
     /// Tokens of cached parts that fit.
     cache_tokens: u64,
-    /// Measured speed against the usual one.
-    speed: f64,
+    /// How much slower it is than its service's engines are on the whole.
+    pace: Pace,
     cache: PartCache,
     failures: u32,
     doubtful_until: Option<Instant>,
@@ -148,11 +159,11 @@
         number
     }
 
-    /// A prompt was read just now: so were all that were sent before it, and those behind it
-    /// begin now.
-    fn read(&mut self, number: u64, now: Instant) {
+    /// A prompt was read at `at`: so were all that were sent before it, and the engine has been
+    /// busy with those behind it since.
+    fn read(&mut self, number: u64, at: Instant) {
         self.unread.retain(|u| u.number > number);
-        self.read_by = now;
+        self.read_by = at;
         for u in &mut self.unread {
             self.read_by += u.prefill;
             u.done = self.read_by;
@@ -176,6 +187,8 @@
     /// Kept connections.
     pub pool: RefCell<Pool>,
     load: RefCell<Load>,
+    /// What is learnt of its service's engines.
+    timing: Rc<RefCell<FirstToken>>,
     /// Digest of its id.
     word: u64,
     /// Its entry is gone, though perhaps only because the store lost it.
@@ -183,14 +196,14 @@
 }
 
 impl Backend {
-    fn new(info: TargetInfo) -> Backend {
+    fn new(info: TargetInfo, timing: Rc<RefCell<FirstToken>>) -> Backend {
         let load = Load {
             running: 0,
             unread: Vec::new(),
             next_number: 0,
             read_by: Instant::now(),
             cache_tokens: 0,
-            speed: 1.0,
+            pace: Pace::default(),
             cache: PartCache::default(),
             failures: 0,
             doubtful_until: None,
@@ -201,6 +214,7 @@
             info: RefCell::new(info),
             pool: RefCell::default(),
             load: RefCell::new(load),
+            timing,
             lapsed: Cell::new(false),
         }
     }
@@ -250,8 +264,7 @@
 pub struct Flight {
     backend: Rc<Backend>,
     sent: Instant,
-    predicted_ms: f64,
-    prefill_ms: f64,
+    plan: Planned,
     /// Its number among the unread prompts, until it is read.
     unread: Option<u64>,
 }
@@ -264,16 +277,10 @@
         load.cache_tokens = plan.cache_tokens;
         let unread = plan.engine.then(|| {
             load.cache.read(shared_parts(parts), now, plan.cache_tokens);
-            load.add(Duration::from_secs_f64(plan.prefill_ms / 1_000.0), now)
+            load.add(millis(plan.prefill_ms), now)
         });
         drop(load);
-        Flight {
-            backend: backend.clone(),
-            sent: now,
-            predicted_ms: plan.predicted_ms,
-            prefill_ms: plan.prefill_ms,
-            unread,
-        }
+        Flight { backend: backend.clone(), sent: now, plan: *plan, unread }
     }
 
     /// The target.
@@ -281,9 +288,9 @@
         &self.backend
     }
 
-    /// Predicted time to the first token, ms.
-    pub fn predicted_ms(&self) -> f64 {
-        self.predicted_ms
+    /// What was expected of it.
+    pub fn plan(&self) -> &Planned {
+        &self.plan
     }
 
     /// The first event arrived: the prompt is read. Returns the time since it was sent.
@@ -291,14 +298,21 @@
         let now = Instant::now();
         let took = now - self.sent;
         let Some(number) = self.unread.take() else { return took };
+        let took_ms = took.as_secs_f64() * 1_000.0;
+        let mut timing = self.backend.timing.borrow_mut();
         let mut load = self.backend.load.borrow_mut();
-        load.read(number, now);
-        let measured = took.as_secs_f64() * 1_000.0 - FIRST_TOKEN_MS;
-        if self.prefill_ms > LEAST_MEASURED_MS && measured > 0.0 {
-            let expected = (self.predicted_ms - FIRST_TOKEN_MS).max(1.0);
-            let ratio = (expected / measured).clamp(0.5, 2.0);
-            let (low, high) = SPEED_RANGE;
-            load.speed = (load.speed * (1.0 + GAIN * (ratio - 1.0))).clamp(low, high);
+        let base_ms = timing.estimate().map_or(0.0, |e| e.base_ms) * load.pace.get();
+        load.read(number, now.checked_sub(millis(base_ms)).unwrap_or(now).max(self.sent));
+        // A wait that was mispredicted says nothing about the engine's speed.
+        let alone_ms = took_ms - self.plan.wait_ms;
+        if alone_ms > self.plan.wait_ms {
+            let pace = load.pace.get();
+            let reading = Reading::of(self.plan.prompt, self.plan.uncached);
+            let expected = timing.estimate().map(|e| e.of(reading));
+            timing.note(reading, alone_ms / pace);
+            if let Some(expected) = expected {
+                load.pace.note(expected, alone_ms);
+            }
         }
         took
     }
@@ -319,6 +333,12 @@
 pub struct Planned {
     /// Whether it uses a model engine.
     pub engine: bool,
+    /// Tokens of its prompt.
+    pub prompt: u64,
+    /// Tokens of its prompt that the target has not cached.
+    pub uncached: u64,
+    /// Predicted wait for prompts that were sent before it, ms.
+    pub wait_ms: f64,
     /// Time for the uncached part of its prompt, ms.
     pub prefill_ms: f64,
     /// Predicted time to its first token, ms.
@@ -331,6 +351,7 @@
 #[derive(Debug, Default)]
 pub struct Targets {
     all: RefCell<Vec<Rc<Backend>>>,
+    timings: RefCell<Vec<(CompactString, Rc<RefCell<FirstToken>>)>>,
 }
 
 /// A request as placement sees it.
@@ -351,20 +372,49 @@
 }
 
 impl Targets {
-    /// Takes in a target's entry. Returns whether it was unknown or changed its state.
-    pub fn set(&self, info: TargetInfo) -> bool {
+    /// Takes in a target's entry.
+    ///
+    /// A target that started again under its id begins as an unknown one: its cached parts, load
+    /// and failures are those of a process that is gone, and kept connections to that are dead.
+    /// Requests that still run keep the earlier one until they end.
+    pub fn set(&self, mut info: TargetInfo) -> Change {
         let mut all = self.all.borrow_mut();
-        match all.binary_search_by(|b| b.info.borrow().id.cmp(&info.id)) {
-            Ok(i) => {
-                let back = all[i].lapsed.replace(false);
-                let before = all[i].info.replace(info.clone());
-                back || before.state != info.state
-            }
+        let i = match all.binary_search_by(|b| b.info.borrow().id.cmp(&info.id)) {
+            Ok(i) => i,
             Err(i) => {
-                all.insert(i, Rc::new(Backend::new(info)));
-                true
+                let timing = self.timing(&info.service);
+                all.insert(i, Rc::new(Backend::new(info, timing)));
+                return Change::New;
             }
+        };
+        let known = all[i].info.borrow().clone();
+        if known.born.zip(info.born).is_some_and(|(known, new)| new < known) {
+            return Change::Outdated;
         }
+        let restarted = known.born.zip(info.born).is_some_and(|(known, new)| new > known);
+        if restarted || known.service != info.service || known.addr != info.addr {
+            let timing = self.timing(&info.service);
+            all[i] = Rc::new(Backend::new(info, timing));
+            return Change::Restarted;
+        }
+        info.born = info.born.or(known.born);
+        let back = all[i].lapsed.replace(false);
+        let changed = back || known.state != info.state;
+        all[i].info.replace(info);
+        if changed { Change::State } else { Change::Same }
+    }
+
+    /// What is learnt of a service's engines.
+    fn timing(&self, service: &str) -> Rc<RefCell<FirstToken>> {
+        let mut timings = self.timings.borrow_mut();
+        let i = match timings.binary_search_by(|(s, _)| s.as_str().cmp(service)) {
+            Ok(i) => i,
+            Err(i) => {
+                timings.insert(i, (service.into(), Rc::default()));
+                i
+            }
+        };
+        timings[i].1.clone()
     }
 
     /// A target's entry is gone for good.
@@ -392,12 +442,14 @@
     }
 
     /// Another router sent a prompt to the target of this digest.
-    pub fn hinted(&self, word: u64, prefill_ms: f64, parts: &[Part]) {
+    pub fn hinted(&self, word: u64, reading: Reading, parts: &[Part]) {
         let all = self.all.borrow();
         let Some(b) = all.iter().find(|b| b.word == word) else { return };
         let now = Instant::now();
         let mut load = b.load.borrow_mut();
-        load.add(Duration::from_secs_f64(prefill_ms / 1_000.0), now);
+        let estimate = b.timing.borrow().estimate();
+        let prefill_ms = estimate.map_or(0.0, |e| e.prefill_ms(reading)) * load.pace.get();
+        load.add(millis(prefill_ms), now);
         // Until this router has sent something itself, it does not know how much fits.
         if load.cache_tokens > 0 {
             let capacity = load.cache_tokens;
@@ -446,12 +498,16 @@
     let info = b.info.borrow();
     let load = b.load.borrow();
     let uncached = req.prompt.saturating_sub(load.cache.cached(shared_parts(req.parts)));
-    let prefill_ms = if req.engine { uncached as f64 / (PREFILL_PER_MS * load.speed) } else { 0.0 };
+    let reading = Reading::of(req.prompt, uncached);
+    let estimate = b.timing.borrow().estimate().filter(|_| req.engine);
+    let pace = load.pace.get();
     let wait_ms = load.read_by.saturating_duration_since(now).as_secs_f64() * 1_000.0;
     Candidate {
         near: info.zone == req.zone,
-        wait_ms: wait_ms + FIRST_TOKEN_MS,
-        prefill_ms,
+        uncached,
+        wait_ms,
+        base_ms: estimate.map_or(0.0, |e| e.base_ms) * pace,
+        prefill_ms: estimate.map_or(0.0, |e| e.prefill_ms(reading)) * pace,
         running: load.running,
         slots: info.slots,
         rank,
@@ -461,6 +517,10 @@
     }
 }
 
+fn millis(ms: f64) -> Duration {
+    Duration::try_from_secs_f64(ms / 1_000.0).unwrap_or_default()
+}
+
 /// The parts that other requests may share: all but the last, which is the request's own.
 pub fn shared_parts(parts: &[Part]) -> &[Part] {
     parts.split_last().map_or(parts, |(_, shared)| shared)
--- a/src/standin/gateway.rs
+++ b/src/standin/gateway.rs
@@ -18,7 +18,7 @@
 use crate::gateway::retries::RetryAllowance;
 use crate::gateway::{
     Catalog, CatalogParts, Limits, Names, Organisation, Platform, Route, RouteKind, Service,
-    TargetInfo, TargetState,
+    StartedMs, TargetInfo, TargetState,
 };
 use crate::http1::{Conn, Header, RequestHead, header};
 use crate::ids::Tokens;
@@ -107,7 +107,8 @@
 }
 
 /// A platform over the row store in memory. Configurations are kept beside the store, and
-/// their row holds a number; a target's row is `service address zone slots state`.
+/// their row holds a number; a target's row is `service address zone slots state`, and after it
+/// when the target started if that is known.
 #[derive(Clone)]
 pub struct LocalPlatform {
     /// The store; its fault is this handle's own.
@@ -188,7 +189,15 @@
     fn target(&self, id: &str, value: &[u8]) -> Result<TargetInfo> {
         let text = std::str::from_utf8(value).map_err(|_| bad_row("target"))?;
         let fields: Vec<&str> = text.split(' ').collect();
-        let [service, addr, zone, slots, state] = fields[..] else { return Err(bad_row("target")) };
+        let (fields, born) = match fields[..] {
+            [service, addr, zone, slots, state] => ([service, addr, zone, slots, state], None),
+            [service, addr, zone, slots, state, born] => {
+                let born = born.parse().map_err(|_| bad_row("born"))?;
+                ([service, addr, zone, slots, state], Some(StartedMs(born)))
+            }
+            _ => return Err(bad_row("target")),
+        };
+        let [service, addr, zone, slots, state] = fields;
         Ok(TargetInfo {
             id: id.into(),
             service: service.into(),
@@ -197,6 +206,7 @@
             slots: slots.parse().map_err(|_| bad_row("slots"))?,
             state: if state == "ready" { TargetState::Ready } else { TargetState::Draining },
             warm_up: Duration::ZERO,
+            born,
         })
     }
 }
--- a/src/stats.rs
+++ b/src/stats.rs
@@ -45,6 +45,8 @@
     pub config_version: Gauge,
     /// Configurations that could not be read.
     pub config_rejected: Counter,
+    /// Targets' entries that could not be read.
+    pub entries_rejected: Counter,
     /// Requests being served.
     pub active: Gauge,
     /// Lines that the log dropped.
@@ -78,6 +80,12 @@
         registry.register("config_version", "Version in force", config_version.clone());
         let config_rejected = Counter::default();
         registry.register("config_rejected", "Unreadable configurations", config_rejected.clone());
+        let entries_rejected = Counter::default();
+        registry.register(
+            "target_entries_rejected",
+            "Unreadable entries of targets",
+            entries_rejected.clone(),
+        );
         let active = Gauge::default();
         registry.register("active", "Requests being served", active.clone());
         let log_dropped = Gauge::default();
@@ -92,6 +100,7 @@
             tokens,
             config_version,
             config_rejected,
+            entries_rejected,
             active,
             log_dropped,
         }
--- a/tests/test_gateway_decisions.rs
+++ b/tests/test_gateway_decisions.rs
@@ -84,7 +84,9 @@
 fn candidate() -> Candidate {
     Candidate {
         near: true,
+        uncached: 1_000,
         wait_ms: 10.0,
+        base_ms: 0.0,
         prefill_ms: 50.0,
         running: 0,
         slots: 8,
--- /dev/null
+++ b/tests/test_gateway_targets.rs
@@ -0,0 +1,138 @@
+//! What routers believe of targets, without sockets.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use kingcupwall::gateway::request::Part;
+use kingcupwall::gateway::targets::{
+    Backend, Change, Flight, PlaceRequest, Planned, StartedMs, TargetInfo, TargetState, Targets,
+};
+use rstest::rstest;
+use tokio::time::Instant;
+
+const PARTS: [Part; 2] = [Part { id: 7, tokens: 5_000 }, Part { id: 8, tokens: 1_000 }];
+
+fn entry(born: Option<u64>, state: TargetState) -> TargetInfo {
+    TargetInfo {
+        id: "t1".into(),
+        service: "model".into(),
+        addr: "127.0.0.9:80".parse().unwrap(),
+        zone: "a".into(),
+        slots: 8,
+        state,
+        warm_up: Duration::ZERO,
+        born: born.map(StartedMs),
+    }
+}
+
+fn request() -> PlaceRequest<'static> {
+    PlaceRequest {
+        service: "model",
+        zone: "a",
+        parts: &PARTS,
+        prompt: 6_000,
+        engine: true,
+        tried: &[],
+    }
+}
+
+fn plan() -> Planned {
+    Planned {
+        engine: true,
+        prompt: 6_000,
+        uncached: 6_000,
+        wait_ms: 0.0,
+        prefill_ms: 100.0,
+        predicted_ms: 100.0,
+        cache_tokens: 100_000,
+    }
+}
+
+fn only(targets: &Targets) -> Rc<Backend> {
+    targets.candidates(&request()).remove(0).0
+}
+
+const READY: TargetState = TargetState::Ready;
+
+#[rstest]
+#[case::heartbeat(Some(5), Some(5), Change::Same)]
+#[case::newer(Some(5), Some(6), Change::Restarted)]
+#[case::older_arrives_late(Some(5), Some(4), Change::Outdated)]
+#[case::not_said_any_more(Some(5), None, Change::Same)]
+#[case::said_for_the_first_time(None, Some(5), Change::Same)]
+#[case::never_said(None, None, Change::Same)]
+fn set_born(#[case] known: Option<u64>, #[case] next: Option<u64>, #[case] expected: Change) {
+    let targets = Targets::default();
+    assert_eq!(targets.set(entry(known, READY)), Change::New);
+    assert_eq!(targets.set(entry(next, READY)), expected);
+}
+
+#[test]
+fn set_born_is_remembered() {
+    // An entry without it in between must not let an outdated one pass.
+    let targets = Targets::default();
+    targets.set(entry(Some(5), READY));
+    targets.set(entry(None, READY));
+    assert_eq!(targets.set(entry(Some(4), READY)), Change::Outdated);
+}
+
+#[rstest]
+#[case::draining(TargetState::Draining, Change::State)]
+#[case::still_ready(TargetState::Ready, Change::Same)]
+fn set_state(#[case] state: TargetState, #[case] expected: Change) {
+    let targets = Targets::default();
+    targets.set(entry(Some(5), READY));
+    assert_eq!(targets.set(entry(Some(5), state)), expected);
+}
+
+#[test]
+fn set_gone_and_back() {
+    let targets = Targets::default();
+    targets.set(entry(Some(5), READY));
+    targets.lapse("t1");
+    assert_eq!(targets.set(entry(Some(5), READY)), Change::State);
+    targets.remove("t1");
+    assert_eq!(targets.set(entry(Some(5), READY)), Change::New);
+}
+
+/// A target crashes and starts again under the id that it had. Its address is the same, the
+/// entry never vanishes, and prompts whose shared part it had read go on being sent there as to
+/// a warm cache: each is read again, later than was reckoned, and its first token is late.
+#[tokio::test(start_paused = true)]
+async fn set_restart_forgets() {
+    let targets = Targets::default();
+    targets.set(entry(Some(5), READY));
+    let before = only(&targets);
+    let flight = Flight::begin(&before, &plan(), &PARTS, Instant::now());
+    before.failed();
+    before.failed();
+    let seen = targets.candidates(&request()).remove(0).1;
+    assert_eq!((seen.uncached, seen.running, seen.doubtful), (1_000, 1, true));
+    assert!(seen.wait_ms > 90.0);
+
+    targets.set(entry(Some(6), READY));
+    let seen = targets.candidates(&request()).remove(0).1;
+    assert_eq!((seen.uncached, seen.running, seen.doubtful), (6_000, 0, false));
+    assert!(seen.wait_ms == 0.0);
+    // What ran at the earlier start ends there and does not count here.
+    drop(flight);
+    assert_eq!(targets.candidates(&request()).remove(0).1.running, 0);
+    assert!(!Rc::ptr_eq(&before, &only(&targets)));
+}
+
+#[test]
+fn set_restart_leaves_drain() {
+    let targets = Targets::default();
+    targets.set(entry(Some(5), TargetState::Draining));
+    assert_eq!(targets.set(entry(Some(6), READY)), Change::Restarted);
+    assert_eq!(targets.candidates(&request()).len(), 1);
+}
+
+#[test]
+fn set_other_address() {
+    // An id that moves to another address without a word on its start is another process too.
+    let targets = Targets::default();
+    targets.set(entry(None, READY));
+    let moved = TargetInfo { addr: "127.0.0.9:81".parse().unwrap(), ..entry(None, READY) };
+    assert_eq!(targets.set(moved), Change::Restarted);
+}
--- a/tests/tests.rs
+++ b/tests/tests.rs
@@ -14,6 +14,8 @@
 mod test_fleet;
 mod test_gateway;
 mod test_gateway_decisions;
+mod test_gateway_targets;
+mod test_gateway_timing;
 mod test_http1;
 mod test_link;
 mod test_oplog;
