--- a/src/allowance/mod.rs
+++ b/src/allowance/mod.rs
@@ -11,6 +11,7 @@
 mod keeper;
 mod ledger;
 mod line;
+mod slack;
 
 pub use account::{Account, Denied, Plan, Sizing};
 pub use keeper::{Hold, Keeper, KeeperSettings};
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -12,6 +12,7 @@
 pub mod forward;
 pub mod front;
 pub mod hints;
+mod load;
 pub mod members;
 pub mod outcome;
 pub mod place;
--- a/src/gateway/targets.rs
+++ b/src/gateway/targets.rs
@@ -10,10 +10,11 @@
 use tokio::time::Instant;
 
 use super::hints::target_word;
+use super::load::Load;
 use super::place::Candidate;
 use super::pool::Pool;
 use super::request::Part;
-use super::timing::{FirstToken, Pace, Reading};
+use super::timing::{FirstToken, Reading};
 use crate::ids::Digest;
 
 /// Failures in a row after which a target is doubtful.
@@ -25,9 +26,6 @@
 /// How long a target that said it is full is left alone. An engine's step takes some 10 ms; a
 /// slot becomes free every few steps.
 const FULL: Duration = Duration::from_millis(120);
-/// A prompt that should have been read so long ago is no longer counted on: its router may have
-/// taken it back without anyone hearing of it.
-const OVERDUE: Duration = Duration::from_secs(2);
 
 /// Whether a target takes new work.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -78,107 +76,6 @@
     Outdated,
 }
 
-#[derive(Debug)]
-struct CachedPart {
-    id: u64,
-    tokens: u64,
-    used: Instant,
-}
-
-/// Which parts of prompts a target has probably cached: those that routers sent there, the least
-/// recently used ones gone once they no longer fit. Parts that only one request uses count as
-/// well: they are most of what an engine keeps, and push the shared ones out.
-#[derive(Debug, Default)]
-struct PartCache {
-    parts: Vec<CachedPart>,
-    tokens: u64,
-}
-
-impl PartCache {
-    fn has(&self, id: u64) -> bool {
-        self.parts.binary_search_by_key(&id, |p| p.id).is_ok()
-    }
-
-    /// Tokens of the leading parts that are cached; a part counts only if all before it do.
-    fn cached(&self, parts: &[Part]) -> u64 {
-        parts.iter().take_while(|p| self.has(p.id)).map(|p| p.tokens).sum()
-    }
-
-    fn read(&mut self, parts: &[Part], now: Instant, capacity: u64) {
-        for p in parts {
-            match self.parts.binary_search_by_key(&p.id, |c| c.id) {
-                Ok(i) => self.parts[i].used = now,
-                Err(i) => {
-                    self.parts.insert(i, CachedPart { id: p.id, tokens: p.tokens, used: now });
-                    self.tokens += p.tokens;
-                }
-            }
-        }
-        while self.tokens > capacity {
-            let oldest = self.parts.iter().enumerate().min_by_key(|(_, p)| p.used);
-            let Some((i, _)) = oldest else { return };
-            self.tokens -= self.parts.remove(i).tokens;
-        }
-    }
-}
-
-/// A prompt that an engine has not read yet, as far as is known.
-#[derive(Debug)]
-struct Unread {
-    number: u64,
-    prefill: Duration,
-    /// When it will be read, by the model.
-    done: Instant,
-}
-
-#[derive(Debug)]
-struct Load {
-    running: u32,
-    /// Prompts on their way, in the order in which they were sent by this router and, as far as
-    /// they said so, by others.
-    unread: Vec<Unread>,
-    next_number: u64,
-    /// When the engine will have read them all, by the model.
-    read_by: Instant,
-    /// How much slower it is than its service's engines are on the whole.
-    pace: Pace,
-    cache: PartCache,
-    failures: u32,
-    doubtful_until: Option<Instant>,
-    full_until: Option<Instant>,
-}
-
-impl Load {
-    /// Adds a prompt to what the engine has to read. Returns its number.
-    fn add(&mut self, prefill: Duration, now: Instant) -> u64 {
-        self.unread.retain(|u| u.done + OVERDUE > now);
-        self.read_by = self.read_by.max(now) + prefill;
-        let number = self.next_number;
-        self.next_number += 1;
-        self.unread.push(Unread { number, prefill, done: self.read_by });
-        number
-    }
-
-    /// A prompt was read at `at`: so were all that were sent before it, and the engine has been
-    /// busy with those behind it since.
-    fn read(&mut self, number: u64, at: Instant) {
-        self.unread.retain(|u| u.number > number);
-        self.read_by = at;
-        for u in &mut self.unread {
-            self.read_by += u.prefill;
-            u.done = self.read_by;
-        }
-    }
-
-    /// A prompt was taken back.
-    fn cancel(&mut self, number: u64) {
-        let Some(i) = self.unread.iter().position(|u| u.number == number) else { return };
-        let prefill = self.unread.remove(i).prefill;
-        self.read_by -= prefill;
-        self.unread[i..].iter_mut().for_each(|u| u.done -= prefill);
-    }
-}
-
 /// One target.
 #[derive(Debug)]
 pub struct Backend {
@@ -197,22 +94,11 @@
 
 impl Backend {
     fn new(info: TargetInfo, timing: Rc<RefCell<FirstToken>>) -> Backend {
-        let load = Load {
-            running: 0,
-            unread: Vec::new(),
-            next_number: 0,
-            read_by: Instant::now(),
-            pace: Pace::default(),
-            cache: PartCache::default(),
-            failures: 0,
-            doubtful_until: None,
-            full_until: None,
-        };
         Backend {
             word: target_word(&info.id),
             info: RefCell::new(info),
             pool: RefCell::default(),
-            load: RefCell::new(load),
+            load: RefCell::new(Load::new(Instant::now())),
             timing,
             lapsed: Cell::new(false),
         }
