--- a/src/gateway/targets.rs
+++ b/src/gateway/targets.rs
@@ -404,6 +404,7 @@
     }
 }
 
+/// A time that was computed; one that is no time (an estimate from no answers) counts as none.
 fn millis(ms: f64) -> Duration {
     Duration::try_from_secs_f64(ms / 1_000.0).unwrap_or_default()
 }
