Sight: connections taken, large readings of the store, and which call failed

Cause: the record of the incident could not tell whether a connection had reached the process, nor what filled the link. Added: event=connection, event=store_read, call and ms in event=store, connections_accepted_total, store_read_bytes_total{reason}. No logic changed. Left: the link, full of configuration that is read again for each refusal.

--- a/src/gateway/front.rs
+++ b/src/gateway/front.rs
@@ -84,14 +84,25 @@
 
 async fn serve<P: Platform>(gw: Rc<Gateway<P>>, io: TcpStream) {
     let _counted = Counted::connection(&gw);
+    gw.stats.accepted.inc();
+    let accepted = Instant::now();
     let Ok(mut conn) = Conn::new(io, SILENCE) else { return };
     let mut phase = gw.phase.subscribe();
+    let mut requests = 0;
+    let mut first_ms = None;
     while let Some(head) = next_request(&gw, &mut conn, &mut phase).await {
         let started = Instant::now();
+        requests += 1;
+        first_ms.get_or_insert((started - accepted).as_millis());
         if !exchange(&gw, &mut conn, &head, started).await {
-            return;
+            break;
         }
     }
+    let open_ms = accepted.elapsed().as_millis();
+    gw.log.routine(
+        "connection",
+        format_args!("requests={requests} first_ms={first_ms:?} open_ms={open_ms}"),
+    );
 }
 
 /// The next request on a connection; `None` once it is to be closed.
--- a/src/gateway/sync.rs
+++ b/src/gateway/sync.rs
@@ -3,12 +3,14 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use bytes::Bytes;
 use tokio::time::{Instant, sleep};
 
 use super::catalog::Catalog;
 use super::state::{Gateway, Platform, StoreLink};
 use super::targets::Change;
 use crate::rows::{Page, Row, StoreError, Ver};
+use crate::stats::Reason;
 
 /// How long a feed waits for a change. Short, because a connection that has gone silent shows
 /// only when this is over, and a configuration must be in force 2 s after its acknowledgement.
@@ -21,12 +23,46 @@
 /// A configuration read so lately need not be read again to be sure of a refusal.
 const CONFIRMED_FOR: Duration = Duration::from_millis(100);
 
+/// Reads of at least this many bytes are logged: they take a link of 10 Mbit/s for 50 ms.
+const LARGE_READ: usize = 64 * 1024;
+
+/// A reading of the store: what for, and when it was asked for.
+#[derive(Clone, Copy)]
+struct Reading {
+    cause: &'static str,
+    sent: Instant,
+}
+
+impl Reading {
+    fn start(cause: &'static str) -> Reading {
+        Reading { cause, sent: Instant::now() }
+    }
+
+    fn ms(self) -> u128 {
+        self.sent.elapsed().as_millis()
+    }
+}
+
+/// Counts what a reading brought. Whoever looks for the reason of a full link finds it here.
+fn note_read<P: Platform>(gw: &Gateway<P>, reading: Reading, page: &Page) {
+    let bytes: usize = page.rows.iter().filter_map(|r| r.value.as_ref()).map(Bytes::len).sum();
+    gw.stats.store_bytes.get_or_create(&Reason { reason: reading.cause }).inc_by(bytes as u64);
+    if bytes >= LARGE_READ {
+        let (cause, ms) = (reading.cause, reading.ms());
+        gw.log.routine(
+            "store_read",
+            format_args!("cause={cause} bytes={bytes} ms={ms} ver={}", page.ver),
+        );
+    }
+}
+
 /// Notes how a call to the store went.
-fn note_link<P: Platform>(gw: &Gateway<P>, outcome: &Result<Page, StoreError>) {
+fn note_link<P: Platform>(gw: &Gateway<P>, reading: Reading, outcome: &Result<Page, StoreError>) {
     let now = Instant::now();
     let before = gw.link.get();
     match outcome {
         Ok(page) => {
+            note_read(gw, reading, page);
             gw.keeper.saw(page.now);
             if before.away {
                 let ms = before.answered.map(|t| (now - t).as_millis());
@@ -40,7 +76,8 @@
         Err(StoreError::HistoryGone | StoreError::Conflict(_)) => (),
         Err(e) => {
             if !before.away {
-                gw.log.note("store", format_args!("state=away cause={e}"));
+                let (call, ms) = (reading.cause, reading.ms());
+                gw.log.note("store", format_args!("state=away cause={e} call={call} ms={ms}"));
             }
             gw.link.set(StoreLink { away: true, ..before });
         }
@@ -94,13 +131,13 @@
     if confirmed.is_some_and(|t| t >= asked || t.elapsed() < CONFIRMED_FOR) {
         return true;
     }
-    let sent = Instant::now();
+    let reading = Reading::start("confirm");
     let (table, key) = gw.platform.config_row();
     let outcome = gw.platform.scan(table, "").await;
-    note_link(gw, &outcome);
+    note_link(gw, reading, &outcome);
     let Ok(page) = outcome else { return false };
     page.rows.iter().filter(|r| r.at.key == key).for_each(|r| apply_config(gw, r));
-    *confirmed = Some(sent);
+    *confirmed = Some(reading.sent);
     true
 }
 
@@ -200,11 +237,11 @@
 ) {
     let mut at: Option<Ver> = None;
     loop {
-        let outcome = match at {
-            None => gw.platform.scan(table, "").await,
-            Some(ver) => gw.platform.feed(table, ver, FEED_WAIT).await,
+        let (reading, outcome) = match at {
+            None => (Reading::start("whole"), gw.platform.scan(table, "").await),
+            Some(ver) => (Reading::start("feed"), gw.platform.feed(table, ver, FEED_WAIT).await),
         };
-        note_link(gw, &outcome);
+        note_link(gw, reading, &outcome);
         match outcome {
             Ok(page) => {
                 take(gw, &page, at.is_none());
--- a/src/stats.rs
+++ b/src/stats.rs
@@ -35,6 +35,10 @@
     pub sends: Family<Reason, Counter>,
     /// Requests that a caller left before their end.
     pub left: Counter,
+    /// Connections of callers that were accepted.
+    pub accepted: Counter,
+    /// Bytes of rows read from the store, by what was read and for which reason.
+    pub store_bytes: Family<Reason, Counter>,
     /// Time to a stream's first event, s.
     pub first_event: Histogram,
     /// Time to a whole plain answer, s.
@@ -70,6 +74,14 @@
         registry.register("sends", "Sends to targets by how they ended", sends.clone());
         let left = Counter::default();
         registry.register("callers_left", "Requests whose caller left early", left.clone());
+        let accepted = Counter::default();
+        registry.register("connections_accepted", "Connections of callers", accepted.clone());
+        let store_bytes = Family::default();
+        registry.register(
+            "store_read_bytes",
+            "Bytes of rows read from the store",
+            store_bytes.clone(),
+        );
         let first_event = times();
         registry.register("first_event_seconds", "Time to the first event", first_event.clone());
         let answer = times();
@@ -95,6 +107,8 @@
             requests,
             sends,
             left,
+            accepted,
+            store_bytes,
             first_event,
             answer,
             tokens,
