Failing tests: configurations that fill a narrow link

What callers of the incident met, without the platform: refusals that read an unchanged configuration of 800,000 bytes six times for six requests (4.8 MB), seven transfers of one new configuration (5.6 MB), and a reading that is given up though it comes without a pause. The rows in memory learn a link of their own to show it. A check that passes from the start, refusal_confirmed_against_change, holds the property that the mend must not lose.

--- a/src/rows/memory.rs
+++ b/src/rows/memory.rs
@@ -1,6 +1,6 @@
 //! A row store in memory, for tests and demonstrations, that can be told to fail.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -86,18 +86,40 @@
     start: Instant,
 }
 
-/// A handle to the store. Clones share the rows, and each has a fault of its own, so that one
-/// user of the store can be cut off while others go on.
+/// The way that values take to one user of the store. They go one after another.
 #[derive(Debug)]
-pub struct MemoryRows {
-    shared: Rc<Shared>,
-    fault: Rc<RefCell<Fault>>,
+struct Link {
+    /// Bytes a second; without one they arrive at once.
+    rate: Cell<Option<u64>>,
+    /// When the values that are on their way have arrived.
+    busy_until: Cell<Instant>,
+    /// Bytes that were sent, also those that nobody waited for.
+    carried: Cell<u64>,
 }
 
-impl Clone for MemoryRows {
-    fn clone(&self) -> MemoryRows {
-        MemoryRows { shared: self.shared.clone(), fault: self.fault.clone() }
+impl Link {
+    fn new() -> Link {
+        Link { rate: Cell::default(), busy_until: Cell::new(Instant::now()), carried: Cell::new(0) }
     }
+
+    async fn carry(&self, rows: &[Row]) {
+        let bytes: usize = rows.iter().filter_map(|r| r.value.as_ref()).map(Bytes::len).sum();
+        self.carried.set(self.carried.get() + bytes as u64);
+        let Some(rate) = self.rate.get() else { return };
+        let start = self.busy_until.get().max(Instant::now());
+        let arrived = start + Duration::from_secs_f64(bytes as f64 / rate as f64);
+        self.busy_until.set(arrived);
+        tokio::time::sleep_until(arrived).await;
+    }
+}
+
+/// A handle to the store. Clones share the rows, and each has a fault and a link of its own, so
+/// that one user of the store can be cut off while others go on.
+#[derive(Clone, Debug)]
+pub struct MemoryRows {
+    shared: Rc<Shared>,
+    fault: Rc<RefCell<Fault>>,
+    link: Rc<Link>,
 }
 
 impl Default for MemoryRows {
@@ -115,12 +137,22 @@
             changed: Notify::new(),
             start: Instant::now(),
         };
-        MemoryRows { shared: Rc::new(shared), fault: Rc::default() }
+        MemoryRows { shared: Rc::new(shared), fault: Rc::default(), link: Rc::new(Link::new()) }
     }
 
-    /// A handle for another user of the same rows, with a fault of its own.
+    /// A handle for another user of the same rows, with a fault and a link of its own.
     pub fn another(&self) -> MemoryRows {
-        MemoryRows { shared: self.shared.clone(), fault: Rc::default() }
+        MemoryRows { shared: self.shared.clone(), fault: Rc::default(), link: Rc::new(Link::new()) }
+    }
+
+    /// Sets how many bytes of values a second reach this user from now on.
+    pub fn set_link(&self, bytes_per_s: u64) {
+        self.link.rate.set(Some(bytes_per_s));
+    }
+
+    /// Bytes of values that were sent to this user.
+    pub fn bytes_carried(&self) -> u64 {
+        self.link.carried.get()
     }
 
     /// Sets what goes wrong from now on.
@@ -186,8 +218,11 @@
         }
     }
 
-    fn page(&self, rows: Vec<Row>) -> Page {
-        Page { rows, ver: self.shared.inner.borrow().ver, now: self.now() }
+    /// The answer with these rows, once it has arrived.
+    async fn deliver(&self, rows: Vec<Row>) -> Page {
+        let page = Page { rows, ver: self.shared.inner.borrow().ver, now: self.now() };
+        self.link.carry(&page.rows).await;
+        page
     }
 }
 
@@ -208,7 +243,7 @@
             let of_table = |r: &&Row| r.at.table == table && r.at.part == part;
             inner.rows.iter().filter(of_table).cloned().collect()
         };
-        Ok(self.page(rows))
+        Ok(self.deliver(rows).await)
     }
 
     async fn feed(&self, table: &str, after: Ver, wait: Duration) -> StoreResult<Page> {
@@ -224,7 +259,7 @@
                 inner.log.iter().filter(newer).cloned().collect()
             };
             if !rows.is_empty() || Instant::now() >= until {
-                return Ok(self.page(rows));
+                return Ok(self.deliver(rows).await);
             }
             let change = self.shared.changed.notified();
             let _ = tokio::time::timeout(FEED_POLL, change).await;
--- a/src/standin/gateway_host.rs
+++ b/src/standin/gateway_host.rs
@@ -65,6 +65,11 @@
         self.gw.is_ready() && self.gw.targets.count().1 > 0
     }
 
+    /// Stops its feed of the configuration, as a connection does that has gone silent.
+    pub fn stop_following(&self) {
+        self.tasks[0].abort();
+    }
+
     /// Ends it as a kill would: it admits and writes nothing any more, and no caller hears of it.
     pub fn kill(self) {
         self.gw.keeper.halt();
--- a/tests/gatedir.rs
+++ b/tests/gatedir.rs
@@ -39,6 +39,11 @@
         Fleet { platform, targets: started, router }
     }
 
+    /// The version of the configuration that the router has in force.
+    pub fn version(&self) -> u64 {
+        self.router.gw.config().map_or(0, |c| c.version)
+    }
+
     /// All runs at all targets.
     pub fn runs(&self) -> usize {
         self.targets.iter().map(|t| t.runs().len()).sum()
--- a/tests/tests.rs
+++ b/tests/tests.rs
@@ -14,6 +14,7 @@
 mod test_explain;
 mod test_fleet;
 mod test_gateway;
+mod test_gateway_config;
 mod test_gateway_decisions;
 mod test_gateway_targets;
 mod test_gateway_timing;
