--- a/tests/tests.rs
+++ b/tests/tests.rs
@@ -21,4 +21,5 @@
 mod test_http1;
 mod test_link;
 mod test_oplog;
+mod test_table_http;
 mod workdir;
