--- a/src/gateway/front.rs
+++ b/src/gateway/front.rs
@@ -195,7 +195,7 @@
         biased;
         admitted = Job::admit(gw, head, body, facts, started) => admitted,
         () = conn.closed() => {
-            gw.stats.left.inc();
+            note_left(gw, &id, started, false);
             return false;
         }
     };
@@ -211,9 +211,8 @@
         biased;
         obtained = job.obtain(None) => obtained,
         () = conn.closed() => {
-            gw.stats.left.inc();
             ended(&gw.stats, kind, "caller_left");
-            gw.log.routine("left", format_args!("id={id} at_ms={} sent={}", started.elapsed().as_millis(), job.may_have_run.get()));
+            note_left(gw, &id, started, job.may_have_run.get());
             return false;
         }
     };
@@ -232,6 +231,13 @@
     }
 }
 
+/// Notes that a caller left before its answer began.
+fn note_left<P: Platform>(gw: &Gateway<P>, id: &str, started: Instant, sent: bool) {
+    gw.stats.left.inc();
+    let ms = started.elapsed().as_millis();
+    gw.log.routine("left", format_args!("id={id} at_ms={ms} sent={sent}"));
+}
+
 async fn refuse<P: Platform>(
     gw: &Gateway<P>,
     conn: &mut Conn,
--- a/src/table/http.rs
+++ b/src/table/http.rs
@@ -9,8 +9,9 @@
 use super::{Instance, Instances, Objects, Outcome, Row, RowKey, Table, Txn};
 use crate::error::{Error, Kind, Result};
 
-/// How long one call may take before its outcome counts as unknown.
-const CALL_TIMEOUT: Duration = Duration::from_secs(3);
+/// How long a call may bring nothing before its outcome counts as unknown. Not its whole time,
+/// which grows with the answer: a router with a narrow link would never get a large snapshot.
+const SILENCE: Duration = Duration::from_secs(3);
 
 /// A client of the platform.
 #[derive(Clone, Debug)]
@@ -25,7 +26,7 @@
     /// # Errors
     /// `Io` when the HTTP client cannot be set up.
     pub fn new(addr: &str) -> Result<HttpPlatform> {
-        let client = reqwest::Client::builder().timeout(CALL_TIMEOUT).no_proxy().build()?;
+        let client = reqwest::Client::builder().read_timeout(SILENCE).no_proxy().build()?;
         Ok(HttpPlatform { base: CompactString::from(format!("http://{addr}")), client })
     }
 
--- a/tests/test_table_http.rs
+++ b/tests/test_table_http.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use kingcupwall::error::Kind;
 use kingcupwall::table::Objects;
 use kingcupwall::table::http::HttpPlatform;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -34,3 +35,12 @@
     let object = platform.get("config/snapshot/7".into()).await.unwrap();
     assert_eq!(object.len(), 100);
 }
+
+/// A platform that takes a call and never answers must not hold up its caller for ever.
+#[tokio::test]
+async fn get_silent() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let platform = HttpPlatform::new(&listener.local_addr().unwrap().to_string()).unwrap();
+    let got = platform.get("config/snapshot/7".into()).await;
+    assert_eq!(got.unwrap_err().kind, Kind::PlatformAway);
+}
