--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -9,6 +9,7 @@
 pub mod catalog;
 pub mod drain;
 pub mod entry;
+mod feed;
 pub mod forward;
 pub mod front;
 pub mod hints;
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -11,11 +11,12 @@
 
 use super::catalog::{Catalog, Limits};
 use super::entry::EntryView;
+use super::feed::Feed;
 use super::hints::Hints;
 use super::place::Weights;
 use super::request::Names;
 use super::retries::{RetryAllowance, RetryShares};
-use super::sync::{Confirmation, Feed};
+use super::sync::Confirmation;
 use super::targets::{TargetInfo, Targets};
 use crate::allowance::{HolderName, Keeper, KeeperSettings};
 use crate::error::Result;
--- a/src/gateway/sync.rs
+++ b/src/gateway/sync.rs
@@ -1,40 +1,21 @@
 //! Follows the store: the operator's configuration and the targets' entries.
 
-use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::Bytes;
-use tokio::time::{Instant, sleep, timeout};
+use tokio::time::{Instant, sleep};
 
 use super::catalog::Catalog;
-use super::state::{Gateway, Platform, StoreLink};
+use super::feed::{Feed, follow};
+use super::state::{Gateway, Platform};
 use super::targets::Change;
-use crate::rows::{Arriving, Page, Row, StoreError, Ver};
-use crate::stats::Reason;
+use crate::rows::{Page, Row, Ver};
 
-/// How long a feed waits for a change. Short, because a connection that has gone silent shows
-/// only when this is over, and a configuration must be in force 2 s after its acknowledgement.
-const FEED_WAIT: Duration = Duration::from_millis(1_200);
-/// Pause after a failed call.
-const RETRY: Duration = Duration::from_millis(200);
 /// How long after the store's return entries that lapsed meanwhile may come back: the targets
 /// write again within about 2 s of it.
 const LAPSE_GRACE: Duration = Duration::from_millis(2_600);
 /// A configuration confirmed so lately need not be confirmed again to be sure of a refusal.
 const CONFIRMED_FOR: Duration = Duration::from_millis(100);
-/// How long a request waits for a configuration that is arriving. A refusal names the same time to
-/// come back.
-const ARRIVAL_WAIT: Duration = Duration::from_millis(400);
-
-/// How far a table's changes were read.
-#[derive(Debug, Default)]
-pub struct Feed {
-    /// All changes up to this version are known; `None` until the table was read whole.
-    at: Cell<Option<Ver>>,
-    /// Whether changes are arriving.
-    arriving: Arriving,
-}
 
 /// An attempt to make sure that the configuration in force is the newest.
 #[derive(Clone, Copy, Debug)]
@@ -43,67 +24,6 @@
     done: bool,
 }
 
-/// Reads of at least this many bytes are logged: they take a link of 10 Mbit/s for 50 ms.
-const LARGE_READ: usize = 64 * 1024;
-
-/// A reading of the store: what for, and when it was asked for.
-#[derive(Clone, Copy)]
-struct Reading {
-    cause: &'static str,
-    sent: Instant,
-}
-
-impl Reading {
-    fn start(cause: &'static str) -> Reading {
-        Reading { cause, sent: Instant::now() }
-    }
-
-    fn ms(self) -> u128 {
-        self.sent.elapsed().as_millis()
-    }
-}
-
-/// Counts what a reading brought. Whoever looks for the reason of a full link finds it here.
-fn note_read<P: Platform>(gw: &Gateway<P>, reading: Reading, page: &Page) {
-    let bytes: usize = page.rows.iter().filter_map(|r| r.value.as_ref()).map(Bytes::len).sum();
-    gw.stats.store_bytes.get_or_create(&Reason { reason: reading.cause }).inc_by(bytes as u64);
-    if bytes >= LARGE_READ {
-        let (cause, ms) = (reading.cause, reading.ms());
-        gw.log.routine(
-            "store_read",
-            format_args!("cause={cause} bytes={bytes} ms={ms} ver={}", page.ver),
-        );
-    }
-}
-
-/// Notes how a call to the store went.
-fn note_link<P: Platform>(gw: &Gateway<P>, reading: Reading, outcome: &Result<Page, StoreError>) {
-    let now = Instant::now();
-    let before = gw.link.get();
-    match outcome {
-        Ok(page) => {
-            note_read(gw, reading, page);
-            gw.keeper.saw(page.now);
-            if before.away {
-                let ms = before.answered.map(|t| (now - t).as_millis());
-                gw.log
-                    .note("store", format_args!("state=answers silent_ms={ms:?} ver={}", page.ver));
-            }
-            let back = if before.away { Some(now) } else { before.back };
-            gw.link.set(StoreLink { answered: Some(now), back, away: false });
-        }
-        // A history that is gone is an answer all the same.
-        Err(StoreError::HistoryGone | StoreError::Conflict(_)) => (),
-        Err(e) => {
-            if !before.away {
-                let (call, ms) = (reading.cause, reading.ms());
-                gw.log.note("store", format_args!("state=away cause={e} call={call} ms={ms}"));
-            }
-            gw.link.set(StoreLink { away: true, ..before });
-        }
-    }
-}
-
 /// Whether entries that are missing now may be back in a moment.
 fn may_return<P: Platform>(gw: &Gateway<P>) -> bool {
     gw.link.get().back.is_some_and(|t| t.elapsed() < LAPSE_GRACE)
@@ -157,29 +77,15 @@
         return c.done;
     }
     let sent = Instant::now();
-    let done = read_changes(gw).await;
-    *latest = Some(Confirmation { sent, done });
-    done
-}
-
-/// Puts in force what changed up to now. Returns whether the store said so.
-async fn read_changes<P: Platform>(gw: &Gateway<P>) -> bool {
-    let feed = &gw.config_feed;
-    if timeout(ARRIVAL_WAIT, feed.arriving.over()).await.is_err() {
-        return false;
-    }
-    let Some(at) = feed.at.get() else { return false };
-    let reading = Reading::start("confirm");
     let (table, _) = gw.platform.config_row();
-    let outcome = gw.platform.feed(table, at, Duration::ZERO, &feed.arriving).await;
-    note_link(gw, reading, &outcome);
-    // Without its history the table must be read whole, which its follower does.
-    let Ok(page) = outcome else { return false };
-    if !page.rows.is_empty() {
+    let changes = gw.config_feed.catch_up(gw, table).await;
+    let done = changes.is_some();
+    if let Some(page) = changes.filter(|p| !p.rows.is_empty()) {
         take_config(gw, &page);
-        feed.at.set(Some(at.max(page.ver)));
+        gw.config_feed.advance(page.ver);
     }
-    true
+    *latest = Some(Confirmation { sent, done });
+    done
 }
 
 fn take_config<P: Platform>(gw: &Gateway<P>, page: &Page) {
@@ -271,43 +177,3 @@
         }
     }
 }
-
-/// Reads a table, then its changes; all of it again whenever its history is gone.
-async fn follow<P: Platform>(
-    gw: &Gateway<P>,
-    table: &str,
-    feed: &Feed,
-    take: impl Fn(&Gateway<P>, &Page, bool),
-) {
-    loop {
-        let at = feed.at.get();
-        let (reading, outcome) = match at {
-            None => (Reading::start("whole"), read_whole(gw, table, feed).await),
-            Some(ver) => {
-                let changes = gw.platform.feed(table, ver, FEED_WAIT, &feed.arriving);
-                (Reading::start("feed"), changes.await)
-            }
-        };
-        note_link(gw, reading, &outcome);
-        match outcome {
-            Ok(page) => {
-                take(gw, &page, at.is_none());
-                feed.at.set(feed.at.get().max(Some(page.ver)));
-            }
-            Err(StoreError::HistoryGone) => {
-                gw.log.note("feed", format_args!("table={table} outcome=history_gone"));
-                feed.at.set(None);
-            }
-            Err(_) => sleep(RETRY).await,
-        }
-    }
-}
-
-async fn read_whole<P: Platform>(
-    gw: &Gateway<P>,
-    table: &str,
-    feed: &Feed,
-) -> Result<Page, StoreError> {
-    let _arrival = feed.arriving.begin();
-    gw.platform.scan(table, "").await
-}
