Soak: narrow links and a configuration that grows

Why the soak missed the incident: its links had no rate and its configuration few hundred bytes. Every second router now gets 400 kB/s from the store, and the configuration grows to 850 kB on the wire after a third of the time; once it is calm every router must say that it is ready.

--- a/soak/src/proxy.rs
+++ b/soak/src/proxy.rs
@@ -1,4 +1,5 @@
-//! A proxy on the loopback that delays, resets, cuts one way or silences connections.
+//! A proxy on the loopback that delays, resets, cuts one way or silences connections, and that may
+//! be narrow.
 
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
@@ -11,7 +12,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 use tokio::task::spawn_local;
-use tokio::time::sleep;
+use tokio::time::{Instant, sleep, sleep_until};
 
 /// Bytes that are passed on at once.
 const CHUNK: usize = 16 * 1024;
@@ -41,20 +42,26 @@
     pub addr: SocketAddr,
     to: SocketAddr,
     mode: Rc<Cell<Mode>>,
+    /// Bytes a second that come back, over all connections; without one as many as there are.
+    rate: Option<u64>,
+    /// When the bytes that are on their way back have arrived.
+    busy_until: Rc<Cell<Instant>>,
     resets: Rc<RefCell<watch::Sender<u64>>>,
 }
 
 impl Proxy {
-    /// A proxy at a free port of `ip` for `to`.
+    /// A proxy at a free port of `ip` for `to`, over which `rate` bytes a second come back.
     ///
     /// # Errors
     /// Those of listening.
-    pub async fn start(ip: &str, to: SocketAddr) -> Result<Proxy> {
+    pub async fn start(ip: &str, to: SocketAddr, rate: Option<u64>) -> Result<Proxy> {
         let listener = TcpListener::bind((ip, 0)).await?;
         let proxy = Proxy {
             addr: listener.local_addr()?,
             to,
             mode: Rc::default(),
+            rate,
+            busy_until: Rc::new(Cell::new(Instant::now())),
             resets: Rc::new(RefCell::new(watch::Sender::new(0))),
         };
         let serving = proxy.clone();
@@ -101,6 +108,11 @@
             if let Mode::Delay(d) = self.mode.get() {
                 sleep(d).await;
             }
+            if let Some(rate) = self.rate.filter(|_| cut == Mode::CutBack) {
+                let start = self.busy_until.get().max(Instant::now());
+                self.busy_until.set(start + Duration::from_secs_f64(n as f64 / rate as f64));
+                sleep_until(self.busy_until.get()).await;
+            }
             while self.mode.get() == cut || self.mode.get() == Mode::Silent {
                 sleep(LOOK).await;
             }
--- a/soak/src/routers.rs
+++ b/soak/src/routers.rs
@@ -9,6 +9,7 @@
 
 use compact_str::{CompactString, format_compact};
 use eyre::{Result, WrapErr};
+use kingcupwall::http1::Conn;
 use rustix::process::{Pid, Signal, kill_process};
 use tokio::net::TcpStream;
 use tokio::process::{Child, Command};
@@ -19,6 +20,9 @@
 /// Looks whether a process listens, at most, and the pause between two.
 const LOOKS: u32 = 200;
 const LOOK: Duration = Duration::from_millis(10);
+/// Time for an answer to the question whether a router serves, and the answer's head, in bytes.
+const ASK: Duration = Duration::from_secs(2);
+const MAX_HEAD: usize = 4 * 1024;
 /// Ports of a router at an address of its own.
 const FRONT: u16 = 8227;
 const READY: u16 = 8220;
@@ -121,6 +125,17 @@
         }
     }
 
+    /// Whether the process says that it serves.
+    pub async fn is_ready(&self) -> bool {
+        let addr = format!("{}:{READY}", self.ip).parse().expect("an address");
+        let ask = async {
+            let mut conn = Conn::dial(addr, ASK).await.ok()?;
+            conn.write(b"GET /readyz HTTP/1.1\r\nHost: router\r\n\r\n").await.ok()?;
+            conn.read_response(MAX_HEAD).await.ok()
+        };
+        timeout(ASK, ask).await.is_ok_and(|head| head.is_some_and(|h| h.status == 200))
+    }
+
     /// Kills the process and waits for its end.
     pub async fn kill(&mut self) {
         if let Some(mut child) = self.child.take() {
--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -41,6 +41,11 @@
 const SETTLE: Duration = Duration::from_secs(GRACE_S + 4);
 /// Time in which the last requests are counted.
 const CALM: Duration = Duration::from_secs(3);
+/// Bytes a second that every second router gets from the store.
+const NARROW: u64 = 400_000;
+/// Routes by which the configuration grows: some 850 kB on the wire, which a narrow link carries in
+/// 2 s. A call to the store that has a fixed time for its whole answer never gets it.
+const MORE_ROUTES: usize = 2_500;
 /// Pause between two looks at the ledgers.
 const AUDIT: Duration = Duration::from_millis(200);
 
@@ -100,6 +105,7 @@
     callers: Rc<Callers>,
     prepaid: RefCell<Vec<u64>>,
     version: Cell<u64>,
+    more_routes: Cell<usize>,
     replaced: Cell<u64>,
     found: RefCell<Vec<String>>,
     ip: CompactString,
@@ -146,7 +152,8 @@
         for n in 0..setup.routers {
             let handle = store.another();
             let listener = TcpListener::bind((format!("{ip}.250"), 0)).await?;
-            let link = Proxy::start(&format!("{ip}.251"), listener.local_addr()?).await?;
+            let rate = (n % 2 == 1).then_some(NARROW);
+            let link = Proxy::start(&format!("{ip}.251"), listener.local_addr()?, rate).await?;
             spawn_local(store::serve(listener, handle.clone()));
             let (at, zone) = (format!("{ip}.{}", n + 1), format!("zone-{}", n / 2 % 2));
             let router = Router::new(logs, &setup.daemon, &at, n, &zone, link.addr)?;
@@ -170,6 +177,7 @@
             callers: Rc::new(callers),
             prepaid: RefCell::new(PREPAID.to_vec()),
             version: Cell::new(0),
+            more_routes: Cell::new(0),
             replaced: Cell::new(0),
             found: RefCell::default(),
             ip,
@@ -211,18 +219,21 @@
             Asked::Once => "non_idempotent",
             Asked::Stream | Asked::Resumable => "streaming",
         };
-        let route = |a: Asked| {
-            json!({"name": a.prefix().trim_matches('/'), "host": HOST, "prefix": a.prefix(),
+        let route = |a: Asked, prefix: &str| {
+            json!({"name": prefix.trim_matches('/'), "host": HOST, "prefix": prefix,
                 "kind": kind(a), "timeout_ms": 3_500, "target_latency_ms": 400,
                 "gap_aim_ms": 200, "priority": 1, "service": "model", "public": false,
                 "max_attempts": if a.repeats() { 2 } else { 1 },
                 "resumable": a == Asked::Resumable})
         };
+        let used = Asked::ALL.into_iter().map(|a| route(a, a.prefix()));
+        let unused =
+            (0..self.more_routes.get()).map(|n| route(Asked::Safe, &format!("/more-{n}/")));
         let prepaid = self.prepaid.borrow();
         let organisation = |(n, prepaid): (usize, &u64)| json!({"name": format!("org-{n}"), "api_keys": [format!("key-{n}")], "prepaid": prepaid});
         let config = json!({
             "version": self.version.get(),
-            "routes": Asked::ALL.map(route),
+            "routes": used.chain(unused).collect::<Vec<_>>(),
             "services": [{"name": "model", "max_connections": 300,
                 "engine": {"slots": 64, "kv_capacity": 200_000, "stride": TOKENS_PER_EVENT}}],
             "tenants": prepaid.iter().enumerate().map(organisation).collect::<Vec<_>>(),
@@ -236,7 +247,7 @@
         let headers = TargetNames { headers: names::headers(), seal: SEAL.into() };
         let target = StandinTarget::start_named(&id, "model", &zone, headers).await?;
         target.set_event_gap(EVENT_GAP);
-        let link = Proxy::start(&format!("{}.252", self.ip), target.addr).await?;
+        let link = Proxy::start(&format!("{}.252", self.ip), target.addr, None).await?;
         let row = json!({"service": "model", "address": link.addr, "zone": zone, "slots": 64,
             "version": "v1", "state": "ready", "warmup_left_ms": 0, "sequence": 1});
         self.store.put(names::TARGETS, &id, row.to_string().as_bytes());
@@ -256,6 +267,7 @@
         let mut rng = Rng::with_seed(setup.seed);
         let parts = Parts { routers: self.routers.len(), targets: TARGETS, orgs: PREPAID.len() };
         let until = Instant::now() + setup.faults_for;
+        spawn_local(self.clone().grow(setup.faults_for / 3));
         let mut faults = 0;
         loop {
             let (pause, fault) = next(&mut rng, parts);
@@ -268,6 +280,13 @@
         }
     }
 
+    /// Makes the configuration large after a while.
+    async fn grow(self: Rc<World>, after: Duration) {
+        sleep(after).await;
+        self.more_routes.set(MORE_ROUTES);
+        self.configure();
+    }
+
     async fn strike(self: Rc<World>, fault: Fault) {
         match fault {
             Fault::Store(r, fault, d) => {
@@ -380,8 +399,15 @@
         }
     }
 
-    /// Once all faults are over, requests of the organisation that has plenty are served.
+    /// Once all faults are over, every router serves, and requests of the organisation that has
+    /// plenty are served.
     async fn check_calm(&self) {
+        for router in &self.routers {
+            let router = router.lock().await;
+            if router.is_up() && !router.is_ready().await {
+                self.note(format!("calm again: {} is not ready", router.name));
+            }
+        }
         let before = self.callers.seen.borrow().len();
         sleep(CALM).await;
         let seen = self.callers.seen.borrow();
