One way to open a run, one host for keepers in tests

Left by earlier work: open_run and open_call stood twice but for what they spawn (now Node::open), and two tests of budgets each built their own router (now tests/keeperdir.rs).

--- a/src/router/drive.rs
+++ b/src/router/drive.rs
@@ -18,7 +18,7 @@
 use crate::membership::wire::{Ask, Found, Mesh, Reply};
 use crate::request::answer::Taken;
 use crate::request::life::{Next, Repeatable, Stage, after_failure};
-use crate::request::runs::{End, Lookup, Run};
+use crate::request::runs::{End, Run};
 use crate::route::picker::Choice;
 use crate::table::Platform;
 
@@ -100,14 +100,7 @@
     new: Run,
     job: Job,
 ) -> Result<Arc<Run>> {
-    let opened = node.lock_runs().open(node.now(), new)?;
-    Ok(match opened {
-        Lookup::Known(run) => run,
-        Lookup::New(run) => {
-            tokio::spawn(drive(node.clone(), run.clone(), job));
-            run
-        }
-    })
+    node.open(new, |run| drive(node.clone(), run, job))
 }
 
 /// Drives `run` to its end. Whatever happens, its callers are told.
--- a/src/router/drive_call.rs
+++ b/src/router/drive_call.rs
@@ -17,7 +17,7 @@
 use crate::ids::{Digest, Incarnation, RunId, TargetId, Tokens};
 use crate::membership::wire::Mesh;
 use crate::request::life::{Next, Repeatable, Stage, after_failure};
-use crate::request::runs::{End, Lookup, Run};
+use crate::request::runs::{End, Run};
 use crate::route::picker::Choice;
 use crate::table::{Mutation, Platform, RowKey, Version, read_one};
 
@@ -73,14 +73,7 @@
     new: Run,
     job: CallJob,
 ) -> Result<Arc<Run>> {
-    let opened = node.lock_runs().open(node.now(), new)?;
-    Ok(match opened {
-        Lookup::Known(run) => run,
-        Lookup::New(run) => {
-            tokio::spawn(drive_call(node.clone(), run.clone(), job));
-            run
-        }
-    })
+    node.open(new, |run| drive_call(node.clone(), run, job))
 }
 
 /// Drives `run` to its end. Whatever happens, its callers are told.
--- a/src/router/node.rs
+++ b/src/router/node.rs
@@ -20,7 +20,7 @@
 use crate::membership::entry::home;
 use crate::membership::view::{Entry, View};
 use crate::membership::wire::{Ask, Found, Mesh, Reply};
-use crate::request::runs::Runs;
+use crate::request::runs::{Lookup, Run, Runs};
 use crate::route::picker::Picker;
 use crate::route::retry::RetryBudget;
 use crate::table::Platform;
@@ -232,6 +232,24 @@
         self.runs.lock().expect("no code panics while it holds the runs")
     }
 
+    /// Finds the request of that key, or spawns what drives the new one to its end.
+    ///
+    /// # Errors
+    /// `KeyReused` when the key belongs to other content.
+    pub fn open<F>(&self, new: Run, drive: impl FnOnce(Arc<Run>) -> F) -> Result<Arc<Run>>
+    where
+        F: Future<Output = ()> + Send + 'static,
+    {
+        let opened = self.lock_runs().open(self.now(), new)?;
+        Ok(match opened {
+            Lookup::Known(run) => run,
+            Lookup::New(run) => {
+                tokio::spawn(drive(run.clone()));
+                run
+            }
+        })
+    }
+
     /// Whether it stops taking new work.
     pub fn is_draining(&self) -> bool {
         self.draining.load(Ordering::Relaxed)
--- a/tests/test_allowance_death.rs
+++ b/tests/test_allowance_death.rs
@@ -5,14 +5,15 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use kingcupwall::allowance::{HolderName, Keeper, KeeperSettings, Ledger};
+use kingcupwall::allowance::Ledger;
 use kingcupwall::ids::Tokens;
-use kingcupwall::oplog::Log;
 use kingcupwall::rows::{Fault, MemoryRows, RowStore};
 use rstest::rstest;
-use tokio::task::{JoinHandle, LocalSet, spawn_local};
+use tokio::task::{LocalSet, spawn_local};
 use tokio::time::sleep;
 
+use crate::keeperdir::KeeperHost;
+
 const ORG: &str = "norte";
 const ROUTERS: usize = 7;
 const PREPAID: u64 = 3_000_000;
@@ -23,15 +24,9 @@
 /// Requests of the organisation a second: its budget lasts some 36 s.
 const PER_S: u64 = 19;
 
-struct Router {
-    keeper: Rc<Keeper<MemoryRows>>,
-    rows: MemoryRows,
-    task: JoinHandle<()>,
-}
-
 struct Fleet {
     store: MemoryRows,
-    routers: RefCell<Vec<Router>>,
+    routers: RefCell<Vec<KeeperHost>>,
     /// What callers got, and the part of it in streams that still run.
     spent: Cell<u64>,
     refused: Cell<u64>,
@@ -55,23 +50,14 @@
         for r in 0..ROUTERS {
             let rows = self.store.another();
             rows.set_fault(Fault::Slow(Duration::from_millis(4)));
-            let me = HolderName { place: format!("r{r}").into(), incarnation: self.next.get() };
-            self.next.set(self.next.get() + 1);
-            let settings =
-                KeeperSettings { horizon_ms: 11_000, patience: Duration::from_millis(60) };
-            let keeper = Rc::new(Keeper::new(rows.clone(), me, settings, Log::new()));
-            keeper.set_routers(ROUTERS as u64);
-            keeper.set_prepaid([(ORG.into(), Tokens(PREPAID))].into_iter());
-            let task = spawn_local(keeper.clone().run());
-            self.routers.borrow_mut().push(Router { keeper, rows, task });
+            let incarnation = self.next.replace(self.next.get() + 1);
+            let host = KeeperHost::start(rows, (r, incarnation), ROUTERS, 11_000, (ORG, PREPAID));
+            self.routers.borrow_mut().push(host);
         }
     }
 
     fn die(&self) {
-        for router in self.routers.borrow_mut().drain(..) {
-            router.task.abort();
-            router.keeper.halt();
-        }
+        self.routers.borrow_mut().drain(..).for_each(KeeperHost::kill);
     }
 
     fn cut(&self, fault: Fault) {
--- a/tests/test_allowance_random.rs
+++ b/tests/test_allowance_random.rs
@@ -10,9 +10,11 @@
 use kingcupwall::oplog::Log;
 use kingcupwall::rows::{Fault, MemoryRows, RowStore};
 use proptest::prelude::*;
-use tokio::task::{JoinHandle, LocalSet, spawn_local};
+use tokio::task::{LocalSet, spawn_local};
 use tokio::time::sleep;
 
+use crate::keeperdir::KeeperHost;
+
 const ORG: &str = "norte";
 const ROUTERS: usize = 3;
 
@@ -56,17 +58,11 @@
     }
 }
 
-struct Router {
-    keeper: Rc<Keeper<MemoryRows>>,
-    rows: MemoryRows,
-    task: JoinHandle<()>,
-}
-
 struct World {
     store: MemoryRows,
     prepaid: u64,
     next: u64,
-    routers: Vec<Option<Router>>,
+    routers: Vec<Option<KeeperHost>>,
     /// Tokens that callers got.
     spent: Rc<Cell<u64>>,
 }
@@ -87,16 +83,11 @@
         world
     }
 
-    fn start(&mut self, place: usize) -> Router {
-        let rows = self.store.another();
-        let me = HolderName { place: format!("r{place}").into(), incarnation: self.next };
+    fn start(&mut self, place: usize) -> KeeperHost {
+        let incarnation = self.next;
         self.next += 1;
-        let settings = KeeperSettings { horizon_ms: 10_000, patience: Duration::from_millis(60) };
-        let keeper = Rc::new(Keeper::new(rows.clone(), me, settings, Log::new()));
-        keeper.set_routers(ROUTERS as u64);
-        keeper.set_prepaid([(ORG.into(), Tokens(self.prepaid))].into_iter());
-        let task = spawn_local(keeper.clone().run());
-        Router { keeper, rows, task }
+        let rows = self.store.another();
+        KeeperHost::start(rows, (place, incarnation), ROUTERS, 10_000, (ORG, self.prepaid))
     }
 
     async fn step(&mut self, step: &Step) {
@@ -114,17 +105,15 @@
             }
             Step::Kill(r, ms) => {
                 let Some(router) = self.routers[r].take() else { return };
-                router.task.abort();
                 // What it had sent may still take effect; it charges nothing any more.
-                router.keeper.halt();
+                router.kill();
                 sleep(Duration::from_millis(ms)).await;
                 let started = self.start(r);
                 self.routers[r] = Some(started);
             }
             Step::Restart(r) => {
                 let Some(router) = self.routers[r].take() else { return };
-                router.keeper.stop().await;
-                router.task.abort();
+                router.stop().await;
                 let started = self.start(r);
                 self.routers[r] = Some(started);
             }
--- a/tests/tests.rs
+++ b/tests/tests.rs
@@ -1,6 +1,7 @@
 //! All integration tests, one crate.
 
 mod gatedir;
+mod keeperdir;
 mod test_allowance;
 mod test_allowance_death;
 mod test_allowance_random;
