--- a/src/rows/memory.rs
+++ b/src/rows/memory.rs
@@ -97,11 +97,18 @@
     busy_until: Cell<Instant>,
     /// Bytes that were sent, also those that nobody waited for.
     carried: Cell<u64>,
+    /// Feeds that were asked for.
+    feeds: Cell<u64>,
 }
 
 impl Link {
     fn new() -> Link {
-        Link { rate: Cell::default(), busy_until: Cell::new(Instant::now()), carried: Cell::new(0) }
+        Link {
+            rate: Cell::default(),
+            busy_until: Cell::new(Instant::now()),
+            carried: Cell::new(0),
+            feeds: Cell::new(0),
+        }
     }
 
     async fn carry(&self, rows: &[Row]) {
@@ -169,6 +176,11 @@
         *self.shared.silent.borrow_mut() = silent;
     }
 
+    /// Feeds that this user asked for, answered or not.
+    pub fn feeds_asked(&self) -> u64 {
+        self.link.feeds.get()
+    }
+
     fn is_silent(&self, part: &str) -> bool {
         self.shared.silent.borrow().binary_search_by(|p| p.as_str().cmp(part)).is_ok()
     }
@@ -255,6 +267,7 @@
         wait: Duration,
         arriving: &Arriving,
     ) -> StoreResult<Page> {
+        self.link.feeds.set(self.link.feeds.get() + 1);
         let until = Instant::now() + wait;
         loop {
             self.pass().await?;
--- a/tests/test_gateway_config.rs
+++ b/tests/test_gateway_config.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use futures_util::future::join_all;
+use kingcupwall::rows::Fault;
 use kingcupwall::standin::gateway::{parts, route};
 use rstest::rstest;
 use tokio::time::sleep;
@@ -80,3 +82,26 @@
         assert_eq!(got.status(), 200);
     });
 }
+
+/// During an outage of the store callers with keys that are unknown here are refused one after
+/// another, the tenth of them after ten timeouts. Each waited for the attempt before it to fail and
+/// then made one of its own.
+#[test]
+fn refusal_shares_outcome() {
+    local(async {
+        let fleet = Fleet::start(1, 1_000_000).await;
+        fleet.router.stop_following();
+        let rows = &fleet.router.platform.rows;
+        rows.set_fault(Fault::Silent);
+        let before = rows.feeds_asked();
+        let front = fleet.router.front;
+        let calls = (0..10).map(|n| async move {
+            Call::get("/safe/a").key("key-new").id(&format!("q{n}")).send(front).await.status()
+        });
+        let statuses = join_all(calls).await;
+        assert_eq!(statuses, [503; 10]);
+        // One that the others wait for; the feed of targets may ask once a second besides.
+        let asked = rows.feeds_asked() - before;
+        assert!(asked < 6, "{asked} feeds asked for");
+    });
+}
