--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -43,7 +43,7 @@
 const CALM: Duration = Duration::from_secs(3);
 /// Bytes a second that every second router gets from the store.
 const NARROW: u64 = 400_000;
-/// Routes by which the configuration grows: some 850 kB on the wire, which a narrow link carries in
+/// Routes by which the configuration grows: some 750 kB on the wire, which a narrow link carries in
 /// 2 s. A call to the store that has a fixed time for its whole answer never gets it.
 const MORE_ROUTES: usize = 2_500;
 /// Pause between two looks at the ledgers.
