Known red: a cut, a store without the ledger's part, a death of all

Cause, from the logs: four of six routers cut off from 24.0 to 32.1 s, the part with four organisations' ledgers down from 31.0 to 37.3, all dead at 34.3. Nothing spent for 11 s was written; 36% of one budget ends in doubt. Class: the known one of budgets in doubt after a death in a cut, not that of large configurations. Not mended here: it takes a second place for what lines have spent and a promise there to spend no more than that, which changes the argument for the budgets' safety.

--- a/tests/test_allowance_death.rs
+++ b/tests/test_allowance_death.rs
@@ -154,3 +154,37 @@
         assert!(refused <= 11, "{refused} of {} refused", 4 * PER_S);
     });
 }
+
+/// After a death of all instances the largest organisation is refused for the rest of the day with
+/// `reason=budget_not_here free=0`, though a seventh of its budget is left. Most routers were cut
+/// off from the store for 8 s; when they were back, the store's part with its ledger was down;
+/// then all died. What they had spent since the cut began was written nowhere
+/// (`event=closed … age_ms=11140 doubt=439239`, 36% of the budget for all of them together).
+#[test]
+fn served_after_cut_and_part_down() {
+    in_virtual_time(async {
+        let fleet = Fleet::new();
+        sleep(Duration::from_secs(1)).await;
+        fleet.load(19_000).await;
+        fleet.routers.borrow()[..5].iter().for_each(|r| r.rows.set_fault(Fault::Silent));
+        fleet.load(7_000).await;
+        fleet.store.set_silent(&[ORG]);
+        fleet.load(1_000).await;
+        fleet.cut(Fault::Slow(Duration::from_millis(4)));
+        fleet.load(2_000).await;
+        fleet.die();
+        sleep(Duration::from_millis(800)).await;
+        fleet.start_all();
+        fleet.load(3_000).await;
+        fleet.store.set_silent(&[]);
+        fleet.load(4_000).await;
+        let (left, refused) = (PREPAID - fleet.spent.get(), fleet.refused.get());
+        fleet.load(3_000).await;
+        let refused = fleet.refused.get() - refused;
+        let asked = 3 * PER_S;
+        assert!(
+            refused * 4 <= asked * 3,
+            "{refused} of {asked} refused with {left} of {PREPAID} tokens left"
+        );
+    });
+}
