Soak: a reload does not hold up the end of a pause

Their series: a start, a pause right behind it (before the process runs its own code), a reload that takes the router's lock and looks for 2 s whether it listens. The pause's end waits for that lock; the reload gives up and signals all the same; once continued, the process has no handler yet and ends as any program would. Change: the reload looks without holding the router, 20 s at the most, and signals only a process that listens. The pause keeps its length; no check is eased.

--- a/soak/src/routers.rs
+++ b/soak/src/routers.rs
@@ -118,13 +118,18 @@
     /// own code no program can.
     pub async fn listens(&self) {
         for _ in 0..LOOKS {
-            if TcpStream::connect(self.directory()).await.is_ok() {
+            if self.is_listening().await {
                 return;
             }
             sleep(LOOK).await;
         }
     }
 
+    /// Whether the process listens now.
+    pub async fn is_listening(&self) -> bool {
+        TcpStream::connect(self.directory()).await.is_ok()
+    }
+
     /// Whether the process says that it serves.
     pub async fn is_ready(&self) -> bool {
         let addr = format!("{}:{READY}", self.ip).parse().expect("an address");
--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -46,6 +46,8 @@
 /// Routes by which the configuration grows: some 750 kB on the wire, which a narrow link carries in
 /// 2 s. A call to the store that has a fixed time for its whole answer never gets it.
 const MORE_ROUTES: usize = 2_500;
+/// Pause between two looks whether a router listens.
+const LOOK: Duration = Duration::from_millis(10);
 /// Pause between two looks at the ledgers.
 const AUDIT: Duration = Duration::from_millis(200);
 
@@ -338,11 +340,7 @@
                 router.stop().await;
                 self.start_again(&mut router);
             }
-            Fault::Reload(r) => {
-                let router = self.routers[r].lock().await;
-                router.listens().await;
-                router.signal(Signal::HUP);
-            }
+            Fault::Reload(r) => self.reload(r).await,
             Fault::TopUp(org) => {
                 self.prepaid.borrow_mut()[org] += TOP_UP;
                 self.configure();
@@ -351,6 +349,21 @@
         }
     }
 
+    /// Tells a router that its settings changed, once its process takes signals. The router is not
+    /// held while it starts: a pause that began before its own code ran could not end, and the
+    /// signal would end the process as it does any program.
+    async fn reload(&self, r: usize) {
+        let until = Instant::now() + START;
+        while Instant::now() < until {
+            let router = self.routers[r].lock().await;
+            if router.is_listening().await {
+                return router.signal(Signal::HUP);
+            }
+            drop(router);
+            sleep(LOOK).await;
+        }
+    }
+
     async fn restart_owned(self: Rc<World>, r: usize, down: Duration) {
         self.restart(r, down).await;
     }
