--- a/src/allowance/lending.rs
+++ b/src/allowance/lending.rs
@@ -9,7 +9,7 @@
 
 use super::account::Denied;
 use super::keeper::{Keeper, Short};
-use super::loans::{LoanId, Settled};
+use super::loans::{Lent, LoanId, Settled};
 use super::peers::Outgoing;
 use super::wire::{Answer, Ask, Envelope, MAX_USES, Message, Use};
 use crate::ids::Tokens;
@@ -172,7 +172,10 @@
             return answer(Answer::Lent);
         }
         let now = Instant::now();
-        if self.peers.lent.borrow_mut().has_ended(id, now) {
+        // The same message came twice. Taken up again, it would take a second part, which nobody
+        // gives back.
+        let known = |lent: &mut Lent| lent.is_waiting(id) || lent.has_ended(id, now);
+        if known(&mut self.peers.lent.borrow_mut()) {
             return;
         }
         if self.leaving.get() || self.stopped.get() {
@@ -191,9 +194,8 @@
             Some(Err(Denied::Spent)) => answer(Answer::Spent),
             Some(Err(Denied::NoneHere)) => {
                 // The store may have a part; meanwhile other asks go on.
-                if self.peers.lent.borrow_mut().wait(id) {
-                    spawn_local(self.clone().lend_later(from, id, ask));
-                }
+                self.peers.lent.borrow_mut().wait(id);
+                spawn_local(self.clone().lend_later(from, id, ask));
             }
         }
     }
--- a/src/allowance/loans.rs
+++ b/src/allowance/loans.rs
@@ -88,13 +88,14 @@
         self.loans.is_empty()
     }
 
-    /// An ask begins to wait. False if it does already: the same message came twice.
-    pub(super) fn wait(&mut self, id: LoanId) -> bool {
-        let new = !self.waiting.contains(&id);
-        if new {
-            self.waiting.push(id);
-        }
-        new
+    /// Whether an ask waits.
+    pub(super) fn is_waiting(&self, id: LoanId) -> bool {
+        self.waiting.contains(&id)
+    }
+
+    /// An ask begins to wait.
+    pub(super) fn wait(&mut self, id: LoanId) {
+        self.waiting.push(id);
     }
 
     /// An ask waits no longer. False if its sender has taken it back meanwhile.
