Sight: whether a target's process ended, and which request it had

The log could not tell a request that ends targets from targets that end by themselves: ids are new for each attempt, and an answer that was lost looks like one whose target ended. Now a broken answer is followed by one connection to the target (shared by all that broke off with it, kept if it succeeds); where nobody listens any more, event=target_ended names the fingerprint of the request. Ruled out as evidence: a connection that is not answered (a cut link), a target that was draining or whose entry had gone. A target that is only too slow has an ending of its own (Silent). No decision rests on any of it yet.

--- /dev/null
+++ b/src/gateway/fingerprint.rs
@@ -0,0 +1,38 @@
+//! What makes two requests the same, whatever their ids.
+
+use std::fmt;
+
+use serde::{Deserialize, Serialize};
+
+use crate::http1::RequestHead;
+use crate::ids::Digest;
+
+use super::request::host;
+
+/// Digest of what a target is asked: organisation, method, host, path with query, and body. The
+/// organisation is part of it, so that nobody can make a request that passes for another's.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd, Deserialize, Serialize)]
+#[serde(transparent)]
+pub struct Fingerprint(pub u64);
+
+impl Fingerprint {
+    /// The fingerprint of a request of `org`.
+    pub fn of(org: Option<&str>, head: &RequestHead, body: &[u8]) -> Fingerprint {
+        let parts = [org.unwrap_or_default(), &head.method, host(head), &head.target];
+        let len = parts.iter().map(|p| p.len() + 1).sum::<usize>() + body.len();
+        let mut bytes = Vec::with_capacity(len);
+        for part in parts {
+            bytes.extend_from_slice(part.as_bytes());
+            // No part can hold it: two requests never run into the same bytes.
+            bytes.push(0);
+        }
+        bytes.extend_from_slice(body);
+        Fingerprint(Digest::of(&bytes).word())
+    }
+}
+
+impl fmt::Display for Fingerprint {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:016x}", self.0)
+    }
+}
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -388,12 +388,16 @@
         }
     }
 
-    fn note_ended(&mut self, backend: &Backend, ended: Ended, runs_before: u32) {
+    fn note_ended(&mut self, backend: &Rc<Backend>, ended: Ended, runs_before: u32) {
         match ended {
             Ended::NotSent => backend.unreachable(),
             Ended::NotRun => backend.full(),
             Ended::OtherTarget => backend.unreachable(),
-            Ended::NoAnswer | Ended::Truncated => backend.failed(),
+            Ended::NoAnswer | Ended::Truncated => {
+                backend.failed();
+                drop(self.broke_off(backend));
+            }
+            Ended::Silent => backend.failed(),
             Ended::Failed => (),
         }
         sent(&self.gw.stats, ended);
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -7,12 +7,15 @@
 //! [`forward`] with its sends, [`relay`] and [`front`] carry them out.
 
 pub mod catalog;
+mod crashes;
 pub mod drain;
 pub mod entry;
 mod feed;
+pub mod fingerprint;
 pub mod forward;
 pub mod front;
 pub mod hints;
+pub mod liveness;
 mod load;
 pub mod members;
 pub mod outcome;
--- a/src/gateway/outcome.rs
+++ b/src/gateway/outcome.rs
@@ -13,6 +13,8 @@
     OtherTarget,
     /// The request was sent, and no answer to it came.
     NoAnswer,
+    /// The same, and another target is asked before the connection says anything.
+    Silent,
     /// The target answered with a failure of its own (5xx).
     Failed,
     /// The answer began and broke off; nothing of it was forwarded.
@@ -22,7 +24,7 @@
 impl Ended {
     /// Whether the target may have run the request.
     pub fn may_have_run(self) -> bool {
-        matches!(self, Ended::NoAnswer | Ended::Failed | Ended::Truncated)
+        matches!(self, Ended::NoAnswer | Ended::Silent | Ended::Failed | Ended::Truncated)
     }
 }
 
@@ -74,10 +76,12 @@
             Next::Retry(Final::TargetsOwn)
         }
         Ended::Failed => Next::Answer(Final::TargetsOwn),
-        Ended::NoAnswer | Ended::Truncated if kind.repeats() && runs_left && sends_left => {
+        Ended::NoAnswer | Ended::Silent | Ended::Truncated
+            if kind.repeats() && runs_left && sends_left =>
+        {
             Next::Retry(Final::Unknown)
         }
-        Ended::NoAnswer | Ended::Truncated => Next::Answer(Final::Unknown),
+        Ended::NoAnswer | Ended::Silent | Ended::Truncated => Next::Answer(Final::Unknown),
     }
 }
 
--- a/src/gateway/pool.rs
+++ b/src/gateway/pool.rs
@@ -65,6 +65,13 @@
         self.idle.push(Idle { conn, until: Instant::now() + keep });
     }
 
+    /// Keeps a connection that has carried nothing yet.
+    pub fn put_new(&mut self, conn: Conn) {
+        if self.idle.len() < MAX_IDLE {
+            self.idle.push(Idle { conn, until: Instant::now() + KEEP_DEFAULT });
+        }
+    }
+
     /// Closes all kept connections.
     pub fn clear(&mut self) {
         self.idle.clear();
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -226,6 +226,7 @@
         caller: &mut Conn,
     ) -> Result<(), Relayed> {
         self.flight.backend().failed();
+        drop(job.broke_off(self.flight.backend()));
         let Some(stream) = &self.rest.stream else { return Err(Relayed::Broken) };
         let (last, events): (Option<CompactString>, u64) = (stream.last_id.clone(), stream.events);
         let may = job.route.kind == RouteKind::ResumableStream
--- a/src/gateway/send.rs
+++ b/src/gateway/send.rs
@@ -40,7 +40,10 @@
         let kept = backend.pool.borrow_mut().take();
         let mut link = match kept {
             Some(link) => link,
-            None => dial(backend.addr()).await.map_err(|_| Ended::NotSent)?,
+            None => dial(backend.addr()).await.map_err(|e| {
+                backend.life.unreached(&e);
+                Ended::NotSent
+            })?,
         };
         let target = backend.id();
         let add = Additions {
@@ -97,7 +100,7 @@
             self.read_own_head(link).await
         };
         match self.patience(plan) {
-            Some(patience) => timeout(patience, exchange).await.map_err(|_| Ended::NoAnswer)?,
+            Some(patience) => timeout(patience, exchange).await.map_err(|_| Ended::Silent)?,
             None => exchange.await,
         }
     }
--- a/src/gateway/stats.rs
+++ b/src/gateway/stats.rs
@@ -15,6 +15,7 @@
         Ended::NotRun => "not_run",
         Ended::OtherTarget => "other_target",
         Ended::NoAnswer => "no_answer",
+        Ended::Silent => "silent",
         Ended::Failed => "failed",
         Ended::Truncated => "truncated",
     };
--- a/src/gateway/targets.rs
+++ b/src/gateway/targets.rs
@@ -10,6 +10,7 @@
 use tokio::time::Instant;
 
 use super::hints::target_word;
+use super::liveness::Life;
 use super::load::Load;
 use super::place::Candidate;
 use super::pool::Pool;
@@ -83,6 +84,8 @@
     pub info: RefCell<TargetInfo>,
     /// Kept connections.
     pub pool: RefCell<Pool>,
+    /// Whether its process has ended.
+    pub life: Life,
     load: RefCell<Load>,
     /// What is learnt of its service's engines.
     timing: Rc<RefCell<FirstToken>>,
@@ -98,6 +101,7 @@
             word: target_word(&info.id),
             info: RefCell::new(info),
             pool: RefCell::default(),
+            life: Life::default(),
             load: RefCell::new(Load::new(Instant::now())),
             timing,
             lapsed: Cell::new(false),
@@ -114,6 +118,11 @@
         self.info.borrow().addr
     }
 
+    /// Whether it is to take work and nothing says that it will leave.
+    pub fn is_expected_to_stay(&self) -> bool {
+        self.info.borrow().state == TargetState::Ready && !self.lapsed.get()
+    }
+
     /// A request got an answer.
     pub fn answered(&self) {
         let mut load = self.load.borrow_mut();
@@ -305,7 +314,7 @@
     pub fn remove(&self, id: &str) -> bool {
         let mut all = self.all.borrow_mut();
         let found = all.binary_search_by(|b| b.info.borrow().id.as_str().cmp(id));
-        found.map(|i| all.remove(i)).is_ok()
+        found.map(|i| all.remove(i).lapsed.set(true)).is_ok()
     }
 
     /// A target's entry is gone, perhaps only because the store was away: the target is used
--- a/src/stats.rs
+++ b/src/stats.rs
@@ -33,6 +33,8 @@
     pub requests: Family<EndLabels, Counter>,
     /// Sends to targets by how they ended.
     pub sends: Family<Reason, Counter>,
+    /// Requests under which a target ended.
+    pub targets_ended: Counter,
     /// Requests that a caller left before their end.
     pub left: Counter,
     /// Connections of callers that were accepted.
@@ -72,6 +74,12 @@
         registry.register("requests", "Requests by kind of route and outcome", requests.clone());
         let sends = Family::default();
         registry.register("sends", "Sends to targets by how they ended", sends.clone());
+        let targets_ended = Counter::default();
+        registry.register(
+            "targets_ended",
+            "Requests under which a target ended",
+            targets_ended.clone(),
+        );
         let left = Counter::default();
         registry.register("callers_left", "Requests whose caller left early", left.clone());
         let accepted = Counter::default();
@@ -106,6 +114,7 @@
             registry: Arc::new(registry),
             requests,
             sends,
+            targets_ended,
             left,
             accepted,
             store_bytes,
