Tests: a request that ends each target which runs it, sent again under new ids

Stand-in targets end on a marked body as a process does: nobody listens any more and all connections break.

--- a/src/standin/gateway.rs
+++ b/src/standin/gateway.rs
@@ -10,6 +10,7 @@
 use bytes::Bytes;
 use compact_str::{CompactString, ToCompactString, format_compact};
 use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
 use tokio::task::spawn_local;
 
 use crate::error::{Error, Kind, Result};
@@ -28,6 +29,8 @@
 const SILENCE: Duration = Duration::from_secs(5);
 /// The longest request a stand-in takes, in bytes.
 const MAX_REQUEST: u64 = 1024 * 1024;
+/// The body of a request that ends any target which runs it.
+pub const FATAL_BODY: &[u8] = b"fatal";
 /// Tokens in one event of a stand-in's stream.
 pub const TOKENS_PER_EVENT: u64 = 2;
 /// Names of headers at the stand-ins.
@@ -266,6 +269,7 @@
     runs: Vec<Seen>,
     closed_early: u64,
     event_gap: Duration,
+    ended: watch::Sender<bool>,
 }
 
 /// A target on a port of its own.
@@ -323,9 +327,12 @@
         };
         let serving = target.clone();
         spawn_local(async move {
-            while let Ok((io, _)) = listener.accept().await {
-                spawn_local(serving.clone().serve(io));
-            }
+            let accept = async {
+                while let Ok((io, _)) = listener.accept().await {
+                    spawn_local(serving.clone().serve(io));
+                }
+            };
+            serving.until_ended(accept).await;
         });
         Ok(target)
     }
@@ -345,6 +352,27 @@
         self.shared.borrow().runs.clone()
     }
 
+    /// Ends as a process does that crashes: nobody listens any more, all connections break.
+    pub fn end(&self) {
+        self.shared.borrow().ended.send_replace(true);
+    }
+
+    /// Whether it has ended.
+    pub fn has_ended(&self) -> bool {
+        *self.shared.borrow().ended.borrow()
+    }
+
+    /// Does `work` until this target ends.
+    async fn until_ended(&self, work: impl Future<Output = ()>) {
+        let mut ended = self.shared.borrow().ended.subscribe();
+        tokio::select! {
+            biased;
+            // The sender lives as long as this target: the channel cannot be closed.
+            _ = ended.wait_for(|ended| *ended) => (),
+            () = work => (),
+        }
+    }
+
     /// Requests whose connection was closed before their answer was whole.
     pub fn closed_early(&self) -> u64 {
         self.shared.borrow().closed_early
@@ -352,12 +380,15 @@
 
     async fn serve(self, io: TcpStream) {
         let Ok(mut conn) = Conn::new(io, SILENCE) else { return };
-        while let Ok(head) = conn.read_request(64 * 1024).await {
-            let Ok(Some(body)) = conn.read_body(head.body, MAX_REQUEST).await else { return };
-            if !self.answer(&mut conn, &head, body).await {
-                return;
+        let answer_all = async {
+            while let Ok(head) = conn.read_request(64 * 1024).await {
+                let Ok(Some(body)) = conn.read_body(head.body, MAX_REQUEST).await else { return };
+                if !self.answer(&mut conn, &head, body).await {
+                    return;
+                }
             }
-        }
+        };
+        self.until_ended(answer_all).await;
     }
 
     /// Answers one request. Returns whether the connection goes on.
@@ -379,7 +410,12 @@
             headers: head.headers.clone(),
             body,
         };
+        let is_fatal = seen.body == FATAL_BODY;
         self.shared.borrow_mut().runs.push(seen);
+        if is_fatal {
+            self.end();
+            return false;
+        }
         let seal = format!("{}: {}.{id}\r\n", self.names.seal, self.id);
         let text = format!("answer of {} to {id}", self.id);
         match fault {
--- a/tests/tests.rs
+++ b/tests/tests.rs
@@ -20,6 +20,7 @@
 mod test_gateway;
 mod test_gateway_config;
 mod test_gateway_decisions;
+mod test_gateway_fatal;
 mod test_gateway_targets;
 mod test_gateway_timing;
 mod test_http1;
