Requests of callers that left count as well; tests of each guard of the quarantine

A caller may leave before the target ends under its request; the router then closed the connection and saw nothing, so a request whose callers are impatient went on ending targets. 0.5 s after a caller has left, the target is looked at once more (no call: the next request that connected tells). Test: fatal_request_of_callers_that_leave, which ends 12 targets without it.

Guards that no test held, found by taking each out: good ends (targets_end_under_request_that_ends_well), the report of a predecessor over two deaths (fatal_request_after_death_of_all, extended), the check before a retry (fatal_request_not_retried_once_held_back: four targets without it, three with).

--- a/src/gateway/crashes.rs
+++ b/src/gateway/crashes.rs
@@ -30,6 +30,9 @@
 const WRITE_PAUSE: Duration = Duration::from_millis(500);
 /// Crashes in one datagram, at most; 40 bytes each keep it under a usual packet.
 const MAX_TOLD: usize = 30;
+/// How long after its caller left a request still counts as one that its target had: the target
+/// hears of it late, and may have begun to run it.
+const LEFT: Duration = Duration::from_millis(500);
 /// How long a request that broke off waits for the answer whether its target has ended, before it
 /// goes to the next one. Connecting takes a few ms; a lost packet is not waited for.
 const EVIDENCE: Duration = Duration::from_millis(100);
@@ -174,13 +177,35 @@
         if !backend.is_expected_to_stay() {
             return None;
         }
-        let broken = Broken {
+        let (broken, gw, backend) = (self.broken(), self.gw.clone(), backend.clone());
+        Some(spawn_local(async move {
+            if find_ended(&backend).await {
+                broken.note(&gw, &backend);
+            }
+        }))
+    }
+
+    /// The caller left while a target had the request. The target may end under it all the same,
+    /// which then shows to the next one that connects.
+    pub(super) fn left(&self) {
+        let may_run = |b: &&Rc<Backend>| self.may_have_run.get() && b.is_expected_to_stay();
+        let Some(backend) = self.at.as_ref().filter(may_run) else { return };
+        let (broken, gw, backend) = (self.broken(), self.gw.clone(), backend.clone());
+        spawn_local(async move {
+            sleep(LEFT).await;
+            if backend.life.has_ended() {
+                broken.note(&gw, &backend);
+            }
+        });
+    }
+
+    fn broken(&self) -> Broken {
+        Broken {
             id: self.facts.id.clone(),
             org: self.org.clone(),
             request: self.fingerprint(),
             sent: self.sent,
-        };
-        Some(spawn_local(broken.find_cause(self.gw.clone(), backend.clone())))
+        }
     }
 
     /// The request was answered whole: if targets ended under it, it was not the cause.
@@ -202,7 +227,7 @@
     }
 }
 
-/// A request whose answer broke off.
+/// A request whose answer broke off, or that was given up.
 struct Broken {
     id: CompactString,
     org: Option<CompactString>,
@@ -211,10 +236,8 @@
 }
 
 impl Broken {
-    async fn find_cause<P: Platform>(self, gw: Rc<Gateway<P>>, backend: Rc<Backend>) {
-        if !find_ended(&backend).await {
-            return;
-        }
+    /// Notes that its target has ended.
+    fn note<P: Platform>(&self, gw: &Gateway<P>, backend: &Backend) {
         gw.stats.targets_ended.inc();
         let at = gw.keeper.store_now();
         let ran_ms = u64::try_from(self.sent.elapsed().as_millis()).unwrap_or(u64::MAX);
@@ -230,6 +253,6 @@
                 backend.id()
             ),
         );
-        note_held_back(&gw);
+        note_held_back(gw);
     }
 }
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -88,7 +88,9 @@
     pub may_have_run: Cell<bool>,
     /// Targets it was sent to.
     pub tried: Vec<CompactString>,
-    /// When it was sent to the last of them.
+    /// The last of them, and when it was sent there.
+    pub(super) at: Option<Rc<Backend>>,
+    /// See `at`.
     pub sent: Instant,
     pub(super) fingerprint: OnceCell<Fingerprint>,
 }
@@ -214,6 +216,7 @@
             made: Made { runs: 0, sends: 0 },
             may_have_run: Cell::new(false),
             tried: Vec::new(),
+            at: None,
             sent: started,
             fingerprint: OnceCell::new(),
         };
--- a/src/gateway/front.rs
+++ b/src/gateway/front.rs
@@ -213,6 +213,7 @@
         () = conn.closed() => {
             ended(&gw.stats, kind, "caller_left");
             note_left(gw, &id, started, job.may_have_run.get());
+            job.left();
             return false;
         }
     };
@@ -269,8 +270,10 @@
         Relayed::Broken => "broken",
         Relayed::TimedOut => "timed_out",
     };
-    if outcome == "answered" {
-        job.ended_well();
+    match outcome {
+        "answered" => job.ended_well(),
+        "caller_left" => job.left(),
+        _ => (),
     }
     ended(&gw.stats, label(job.route.kind), outcome);
     let took = job.started.elapsed();
--- a/src/gateway/send.rs
+++ b/src/gateway/send.rs
@@ -36,6 +36,7 @@
         resume_after: Option<&str>,
     ) -> Result<Reply, Ended> {
         self.tried.push(backend.id());
+        self.at = Some(backend.clone());
         self.sent = Instant::now();
         let flight = Flight::begin(backend, plan, &self.facts.parts, self.sent);
         let kept = backend.pool.borrow_mut().take();
--- a/src/standin/gateway.rs
+++ b/src/standin/gateway.rs
@@ -342,7 +342,7 @@
         self.shared.borrow_mut().faults.extend(faults);
     }
 
-    /// Pause between two events of a stream.
+    /// Pause between two events of a stream, and before a fatal request ends this target.
     pub fn set_event_gap(&self, gap: Duration) {
         self.shared.borrow_mut().event_gap = gap;
     }
@@ -357,6 +357,16 @@
         self.shared.borrow().ended.send_replace(true);
     }
 
+    /// Ends after the pause between two events, also if the connection is closed meanwhile.
+    fn end_later(&self) {
+        let target = self.clone();
+        spawn_local(async move {
+            let gap = target.shared.borrow().event_gap;
+            tokio::time::sleep(gap).await;
+            target.end();
+        });
+    }
+
     /// Whether it has ended.
     pub fn has_ended(&self) -> bool {
         *self.shared.borrow().ended.borrow()
@@ -413,8 +423,8 @@
         let is_fatal = seen.body == FATAL_BODY;
         self.shared.borrow_mut().runs.push(seen);
         if is_fatal {
-            self.end();
-            return false;
+            self.end_later();
+            return std::future::pending().await;
         }
         let seal = format!("{}: {}.{id}\r\n", self.names.seal, self.id);
         let text = format!("answer of {} to {id}", self.id);
--- a/tests/test_gateway_fatal.rs
+++ b/tests/test_gateway_fatal.rs
@@ -2,7 +2,9 @@
 
 use std::time::Duration;
 
-use kingcupwall::standin::gateway::{LocalPlatform, StandinTarget, TargetFault, parts};
+use kingcupwall::gateway::quarantine::CRASHES_TO_CONVICT;
+use kingcupwall::http1::Conn;
+use kingcupwall::standin::gateway::{FATAL_BODY, LocalPlatform, StandinTarget, TargetFault, parts};
 use kingcupwall::standin::gateway_host::GatewayHost;
 
 use crate::gatedir::{Call, Got, eventually, local};
@@ -48,6 +50,19 @@
         self.targets.iter().filter(|t| t.has_ended()).count()
     }
 
+    /// Fills the first router's retry budget.
+    async fn earn_retries(&self) {
+        for n in 0..20 {
+            let call = Call::get("/safe/warm").body(&format!("warm {n}"));
+            assert_eq!(call.send(self.routers[0].front).await.status(), 200);
+        }
+    }
+
+    fn fatal_runs(&self) -> usize {
+        let runs = self.targets.iter().flat_map(StandinTarget::runs);
+        runs.filter(|r| r.body == FATAL_BODY).count()
+    }
+
     /// One more attempt of the same request, at the router whose turn it is.
     async fn send_fatal(&self, n: usize) -> Got {
         let call = Call::get("/safe/fatal").id(&format!("f{n}")).body("fatal");
@@ -86,19 +101,21 @@
 
 #[test]
 fn fatal_request_after_death_of_all() {
-    // The same, and in between all routers lose power: their successors know of no request that
-    // ended a target, and hand it to the targets that are left.
+    // The same, and in between all routers lose power, twice: their successors knew of no request
+    // that ended a target, and handed it to the targets that were left.
     local(async {
         let mut fleet = Fleet::start().await;
         for n in 0..ENDED_AT_MOST {
             fleet.send_fatal(n).await;
         }
-        // Longer than a router takes to renew its row.
-        tokio::time::sleep(Duration::from_millis(2_500)).await;
-        fleet.routers.drain(..).for_each(GatewayHost::kill);
-        fleet.start_routers(2).await;
-        for n in 0..ENDED_AT_MOST {
-            fleet.send_fatal(n).await;
+        for incarnation in 2..=3 {
+            // Longer than a router takes to renew its row.
+            tokio::time::sleep(Duration::from_millis(2_500)).await;
+            fleet.routers.drain(..).for_each(GatewayHost::kill);
+            fleet.start_routers(incarnation).await;
+            for n in 0..ENDED_AT_MOST {
+                fleet.send_fatal(n).await;
+            }
         }
         assert!(fleet.ended() <= ENDED_AT_MOST, "{} targets ended", fleet.ended());
     });
@@ -170,3 +187,76 @@
         assert_eq!(fleet.routers[0].gw.stats.targets_ended.get(), 0);
     });
 }
+
+#[test]
+fn fatal_request_of_callers_that_leave() {
+    // Targets go on ending although each of them had the same request.
+    // Its callers leave before the target ends; by then the router has closed the connection, and
+    // only the next request finds that nobody listens there any more.
+    local(async {
+        let fleet = Fleet::start().await;
+        let front = fleet.routers[0].front;
+        fleet.targets.iter().for_each(|t| t.set_event_gap(Duration::from_millis(30)));
+        for n in 0..2 * ENDED_AT_MOST {
+            let (ended, ran) = (fleet.ended(), fleet.fatal_runs());
+            let mut conn = Conn::dial(front, Duration::from_secs(5)).await.unwrap();
+            let call = Call::get("/safe/fatal").id(&format!("f{n}")).body("fatal");
+            conn.write(&call.bytes()).await.unwrap();
+            tokio::select! {
+                () = eventually("it runs", || fleet.fatal_runs() > ran) => (),
+                // One that is held back is answered at once.
+                _ = conn.has_more() => (),
+            }
+            drop(conn);
+            if fleet.fatal_runs() == ran {
+                break;
+            }
+            eventually("the target ends", || fleet.ended() > ended).await;
+            // Others meet the target that has ended.
+            for m in 0..2 * ENDED_AT_MOST {
+                let other = Call::get("/safe/a").body(&format!("other {m}"));
+                assert_eq!(other.send(front).await.status(), 200);
+            }
+            tokio::time::sleep(Duration::from_millis(700)).await;
+        }
+        assert!(fleet.ended() <= ENDED_AT_MOST, "{} targets ended", fleet.ended());
+    });
+}
+
+#[test]
+fn targets_end_under_request_that_ends_well() {
+    // A request that callers send alike all day is held back because targets ended under it now
+    // and then, although it was answered whole each time, by the next target.
+    local(async {
+        let fleet = Fleet::start().await;
+        fleet.earn_retries().await;
+        let front = fleet.routers[0].front;
+        fleet.targets.iter().for_each(|t| t.set_event_gap(Duration::from_millis(10)));
+        for n in 0..ENDED_AT_MOST {
+            let call = Call::get("/resumable/a").id(&format!("s{n}")).tokens(10, 20).body("same");
+            let got = tokio::task::spawn_local(async move { call.send(front).await });
+            let has_it = |t: &&StandinTarget| t.runs().iter().any(|r| r.id == format!("s{n}"));
+            eventually("it runs", || fleet.targets.iter().any(|t| has_it(&t))).await;
+            fleet.targets.iter().find(has_it).unwrap().end();
+            let got = got.await.unwrap();
+            assert_eq!((got.status(), got.whole), (200, true));
+        }
+        assert!(fleet.routers[0].gw.stats.targets_ended.get() >= ENDED_AT_MOST as u64);
+    });
+}
+
+#[test]
+fn fatal_request_not_retried_once_held_back() {
+    // A request that has ended three targets is sent to a fourth within the same attempt.
+    // The router's own retry follows the third end at once, before it is known that it was one.
+    local(async {
+        let fleet = Fleet::start().await;
+        fleet.earn_retries().await;
+        for n in 0..2 * ENDED_AT_MOST {
+            let call = Call::get("/safe/fatal").id(&format!("f{n}")).body("fatal");
+            let status = call.send(fleet.routers[0].front).await.status();
+            assert!([502, 503].contains(&status));
+        }
+        assert_eq!(fleet.ended(), CRASHES_TO_CONVICT);
+    });
+}
