Soak: a request that ends every target which runs it, sent on and on

Now one caller sends three such requests, one after the other, beside all other faults; targets are back after 1 s under new ids. Checked: in the calm at most three more ends once there were three (the stated bound), and no other request is held back.

--- a/soak/src/callers.rs
+++ b/soak/src/callers.rs
@@ -19,7 +19,7 @@
 /// The host of all routes.
 pub const HOST: &str = "shop.example";
 /// How long a caller waits for an answer.
-const TIME_LEFT: Duration = Duration::from_secs(4);
+pub(crate) const TIME_LEFT: Duration = Duration::from_secs(4);
 /// How long it waits for an entry answer.
 const ENTRY: Duration = Duration::from_millis(800);
 /// How long an entry answer is kept.
@@ -134,7 +134,7 @@
     }
 }
 
-async fn connect(callers: &Callers, rng: &mut Rng, number: u32) -> Option<Conn> {
+pub(crate) async fn connect(callers: &Callers, rng: &mut Rng, number: u32) -> Option<Conn> {
     let zone = if number.is_multiple_of(2) { "zone-0" } else { "zone-1" };
     let mut directories = callers.directories.clone();
     rng.shuffle(&mut directories);
--- a/soak/src/checks.rs
+++ b/soak/src/checks.rs
@@ -36,6 +36,10 @@
 
 /// What is wrong with one answer.
 fn check_answer(e: &Exchange) -> Option<String> {
+    // Each request of these callers is sent once: none can be the cause of targets' ends.
+    if e.status == Some(503) && e.body.contains("ends_targets") {
+        return Some(format!("{}: held back as if it ended targets", e.id));
+    }
     let is_success = e.status.is_some_and(|s| (200..300).contains(&s));
     if !is_success {
         return None;
--- /dev/null
+++ b/soak/src/fatal.rs
@@ -0,0 +1,79 @@
+//! A caller whose requests end every target that runs them, and who sends them again and again, each
+//! time under a new id and at any router.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use compact_str::{CompactString, format_compact};
+use fastrand::Rng;
+use kingcupwall::gateway::quarantine::CRASHES_TO_CONVICT;
+use kingcupwall::standin::gateway::{FATAL_BODY, Seen};
+use kingcupwall_platform::names;
+use tokio::time::{Instant, sleep, timeout};
+
+use crate::callers::{Callers, HOST, TIME_LEFT, connect};
+
+/// Pause between two attempts.
+const PAUSE: Duration = Duration::from_millis(150);
+/// Sends of a request that may follow once it has ended so many targets that it counts as the
+/// cause.
+const SENDS_AFTER: usize = 3;
+
+/// Sends one fatal request after the other for `each`; the last of `kinds` until all is over.
+pub async fn send_on(callers: Rc<Callers>, kinds: u32, each: Duration, seed: u64) {
+    let mut rng = Rng::with_seed(seed);
+    let began = Instant::now();
+    let mut sent = 0_u32;
+    while !callers.over.get() {
+        let kind = (began.elapsed().as_secs_f64() / each.as_secs_f64()) as u32;
+        let path = format_compact!("/safe/fatal-{}", kind.min(kinds - 1));
+        if let Some(mut conn) = connect(&callers, &mut rng, sent).await {
+            let bytes = request(&path, sent, &callers.keys[0]);
+            sent += 1;
+            // What becomes of it is seen at the targets.
+            let _ = timeout(TIME_LEFT, async {
+                conn.write(&bytes).await?;
+                conn.has_more().await
+            })
+            .await;
+        }
+        sleep(PAUSE).await;
+    }
+}
+
+fn request(path: &str, number: u32, key: &str) -> Vec<u8> {
+    let names = names::headers();
+    let mut bytes = format!(
+        "POST {path} HTTP/1.1\r\nHost: {HOST}\r\n{}: fatal-{number}\r\n{}: {}\r\n\
+         Authorization: Bearer {key}\r\nContent-Length: {}\r\n\r\n",
+        names.request_id,
+        names.time_left,
+        TIME_LEFT.as_millis(),
+        FATAL_BODY.len(),
+    )
+    .into_bytes();
+    bytes.extend_from_slice(FATAL_BODY);
+    bytes
+}
+
+/// How often each fatal request ran, by path.
+fn runs_by_path(runs: &[Seen]) -> Vec<(CompactString, usize)> {
+    let mut paths: Vec<_> = runs.iter().filter(|r| r.body == FATAL_BODY).collect();
+    paths.sort_by(|a, b| a.target.cmp(&b.target));
+    let of_one = paths.chunk_by(|a, b| a.target == b.target);
+    of_one.map(|same| (same[0].target.clone(), same.len())).collect()
+}
+
+/// What is wrong with the runs of fatal requests, from all runs before it was calm and all by now:
+/// in the calm every router hears of every target's end.
+pub fn check(before: &[Seen], by_now: &[Seen]) -> Vec<String> {
+    let earlier = runs_by_path(before);
+    let wrong = |(path, runs): (CompactString, usize)| {
+        let before = earlier.iter().find(|(p, _)| *p == path).map_or(0, |(_, n)| *n);
+        let allowed = CRASHES_TO_CONVICT.saturating_sub(before) + SENDS_AFTER;
+        let more = runs - before;
+        (more > allowed)
+            .then(|| format!("calm again: {path} ended {more} more targets after {before}"))
+    };
+    runs_by_path(by_now).into_iter().filter_map(wrong).collect()
+}
--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -4,6 +4,7 @@
 
 pub mod callers;
 pub mod checks;
+pub mod fatal;
 pub mod faults;
 pub mod proxy;
 pub mod routers;
--- a/soak/src/proxy.rs
+++ b/soak/src/proxy.rs
@@ -47,6 +47,7 @@
     /// When the bytes that are on their way back have arrived.
     busy_until: Rc<Cell<Instant>>,
     resets: Rc<RefCell<watch::Sender<u64>>>,
+    closed: Rc<watch::Sender<bool>>,
 }
 
 impl Proxy {
@@ -63,11 +64,21 @@
             rate,
             busy_until: Rc::new(Cell::new(Instant::now())),
             resets: Rc::new(RefCell::new(watch::Sender::new(0))),
+            closed: Rc::new(watch::Sender::new(false)),
         };
         let serving = proxy.clone();
         spawn_local(async move {
-            while let Ok((near, _)) = listener.accept().await {
-                spawn_local(serving.clone().carry(near));
+            let mut closed = serving.closed.subscribe();
+            let accept = async {
+                while let Ok((near, _)) = listener.accept().await {
+                    spawn_local(serving.clone().carry(near));
+                }
+            };
+            tokio::select! {
+                biased;
+                // `serving` keeps the sender: the channel cannot be closed.
+                _ = closed.wait_for(|closed| *closed) => (),
+                () = accept => (),
             }
         });
         Ok(proxy)
@@ -83,6 +94,11 @@
         self.resets.borrow().send_modify(|n| *n += 1);
     }
 
+    /// Stops listening: the process behind it has ended. Open connections end with the process.
+    pub fn close(&self) {
+        self.closed.send_replace(true);
+    }
+
     async fn carry(self, near: TcpStream) {
         let mut reset = self.resets.borrow().subscribe();
         let Ok(far) = TcpStream::connect(self.to).await else { return };
--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -22,6 +22,7 @@
 
 use crate::callers::{Asked, Callers, HOST, SEAL, call_on};
 use crate::checks::check;
+use crate::fatal;
 use crate::faults::{Fault, Parts, next};
 use crate::proxy::{Mode, Proxy};
 use crate::routers::{GRACE_S, Router};
@@ -46,6 +47,10 @@
 /// Routes by which the configuration grows: some 750 kB on the wire, which a narrow link carries in
 /// 2 s. A call to the store that has a fixed time for its whole answer never gets it.
 const MORE_ROUTES: usize = 2_500;
+/// Requests that end targets, one after the other while faults go on.
+const FATAL_KINDS: u32 = 3;
+/// How long a target that has ended is down.
+const DOWN: Duration = Duration::from_secs(1);
 /// Pause between two looks whether a router listens.
 const LOOK: Duration = Duration::from_millis(10);
 /// Pause between two looks at the ledgers.
@@ -126,9 +131,13 @@
     for n in 0..setup.callers {
         spawn_local(call_on(world.callers.clone(), n, setup.seed ^ u64::from(n + 1)));
     }
+    let each = setup.faults_for / FATAL_KINDS;
+    spawn_local(fatal::send_on(world.callers.clone(), FATAL_KINDS, each, setup.seed));
     let faults = world.break_for(setup).await;
     sleep(SETTLE).await;
+    let before = world.runs();
     world.check_calm().await;
+    fatal::check(&before, &world.runs()).into_iter().for_each(|v| world.note(v));
     world.callers.over.set(true);
     for router in &world.routers {
         let mut router = router.lock().await;
@@ -243,7 +252,7 @@
         self.store.put(names::CONFIG.0, names::CONFIG.1, config.to_string().as_bytes());
     }
 
-    async fn add_target(&self, n: usize) -> Result<()> {
+    async fn add_target(self: &Rc<World>, n: usize) -> Result<()> {
         let id = format_compact!("t{n}-{}", self.replaced.get());
         let zone = format!("zone-{}", n % 2);
         let headers = TargetNames { headers: names::headers(), seal: SEAL.into() };
@@ -253,6 +262,7 @@
         let row = json!({"service": "model", "address": link.addr, "zone": zone, "slots": 64,
             "version": "v1", "state": "ready", "warmup_left_ms": 0, "sequence": 1});
         self.store.put(names::TARGETS, &id, row.to_string().as_bytes());
+        spawn_local(self.clone().start_again_after_end(n, target.clone(), link.clone()));
         let mut targets = self.targets.borrow_mut();
         if n < targets.len() {
             let (old, _) = std::mem::replace(&mut targets[n], (target, link));
@@ -264,6 +274,24 @@
         Ok(())
     }
 
+    /// Once a target has ended, nobody listens in its place; another starts there after a while.
+    async fn start_again_after_end(self: Rc<World>, n: usize, target: StandinTarget, link: Proxy) {
+        target.wait_end().await;
+        link.close();
+        sleep(DOWN).await;
+        let is_there = self.targets.borrow()[n].0.id == target.id;
+        if is_there {
+            self.replace(n).await;
+        }
+    }
+
+    async fn replace(self: &Rc<World>, n: usize) {
+        self.replaced.set(self.replaced.get() + 1);
+        if let Err(e) = Box::pin(self.add_target(n)).await {
+            self.note(format!("a target could not be started: {e}"));
+        }
+    }
+
     /// Breaks things for the time of the setup. Returns how many.
     async fn break_for(self: &Rc<World>, setup: &Setup) -> u32 {
         let mut rng = Rng::with_seed(setup.seed);
@@ -315,12 +343,7 @@
             }
             Fault::TargetReset(t) => self.targets.borrow()[t].1.reset(),
             Fault::Target(t, fault) => self.targets.borrow()[t].0.fail(&[fault]),
-            Fault::Replace(t) => {
-                self.replaced.set(self.replaced.get() + 1);
-                if let Err(e) = self.add_target(t).await {
-                    self.note(format!("a target could not be started: {e}"));
-                }
-            }
+            Fault::Replace(t) => self.replace(t).await,
             Fault::Pause(r, d) => {
                 self.routers[r].lock().await.signal(Signal::STOP);
                 sleep(d).await;
@@ -431,12 +454,16 @@
         }
     }
 
-    fn report(&self, seed: u64, faults: u32, logs: PathBuf) -> Report {
-        let seen = self.callers.seen.borrow();
+    /// All runs at all targets so far.
+    fn runs(&self) -> Vec<Seen> {
         let (targets, gone) = (self.targets.borrow(), self.gone.borrow());
         let all = targets.iter().map(|(t, _)| t).chain(gone.iter());
-        let runs: Vec<Seen> = all.flat_map(StandinTarget::runs).collect();
-        let mut violations = check(&seen, &runs, &self.prepaid.borrow());
+        all.flat_map(StandinTarget::runs).collect()
+    }
+
+    fn report(&self, seed: u64, faults: u32, logs: PathBuf) -> Report {
+        let seen = self.callers.seen.borrow();
+        let mut violations = check(&seen, &self.runs(), &self.prepaid.borrow());
         violations.extend(self.found.borrow().iter().cloned());
         let whole = seen.iter().filter(|e| e.status == Some(200) && e.whole).count();
         let refused = seen.iter().filter(|e| e.status == Some(503)).count();
--- a/src/standin/gateway.rs
+++ b/src/standin/gateway.rs
@@ -372,6 +372,11 @@
         *self.shared.borrow().ended.borrow()
     }
 
+    /// Waits until it has ended.
+    pub async fn wait_end(&self) {
+        self.until_ended(std::future::pending()).await;
+    }
+
     /// Does `work` until this target ends.
     async fn until_ended(&self, work: impl Future<Output = ()>) {
         let mut ended = self.shared.borrow().ended.subscribe();
