Crashes are told to all routers, and count while entries have lapsed

Now each crash goes to all routers that live, 100 bytes each, and crashes are rare. (2) Entries that lapse in an outage made crashes look like planned leaving; only what an entry announces, or its removal in a healthy store, counts as that now. Test: target_ends_while_store_says (announced: not counted; entry lost: counted).

--- a/src/gateway/crashes.rs
+++ b/src/gateway/crashes.rs
@@ -5,6 +5,7 @@
 //! router within a second or two, wherever it ran, and to one that starts.
 
 use std::cell::RefCell;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -44,9 +45,16 @@
     untold: RefCell<Report>,
     some_untold: Notify,
     unwritten: Notify,
+    /// All routers that are known to live: the request may come to any of them.
+    peers: RefCell<Vec<SocketAddr>>,
 }
 
 impl Crashes {
+    /// Sets whom to tell.
+    pub fn set_peers(&self, peers: Vec<SocketAddr>) {
+        *self.peers.borrow_mut() = peers;
+    }
+
     /// Targets that ended under a request, as far as is known.
     pub fn count(&self, request: Fingerprint) -> usize {
         self.known.borrow().crashes(request)
@@ -108,7 +116,8 @@
         let report = gw.crashes.take_untold();
         ciborium::into_writer(&report, &mut bytes).expect("writing to memory cannot fail");
         let datagram = Topic::Crashes.frame(&bytes);
-        for peer in gw.hints.peers() {
+        let peers = gw.crashes.peers.borrow().clone();
+        for peer in peers {
             // The row says it again.
             if let Err(e) = socket.try_send_to(&datagram, peer) {
                 gw.log.routine("peer", format_args!("to={peer} outcome=unsent cause={e}"));
--- a/src/gateway/hints.rs
+++ b/src/gateway/hints.rs
@@ -94,11 +94,6 @@
         *self.peers.borrow_mut() = peers;
     }
 
-    /// Whom to tell.
-    pub fn peers(&self) -> Vec<SocketAddr> {
-        self.peers.borrow().clone()
-    }
-
     fn take(&self) -> Vec<u8> {
         let mut waiting = self.waiting.borrow_mut();
         let n = waiting.len().min(MAX_PLACEMENTS);
@@ -117,7 +112,8 @@
         }
         sleep(GATHER).await;
         let bytes = Topic::Hints.frame(&gw.hints.take());
-        for peer in gw.hints.peers() {
+        let peers = gw.hints.peers.borrow().clone();
+        for peer in peers {
             // A full buffer or an unreachable peer loses a hint, which is made for that.
             if socket.try_send_to(&bytes, peer).is_err() {
                 gw.hints.lost.set(gw.hints.lost.get() + 1);
--- a/src/gateway/members.rs
+++ b/src/gateway/members.rs
@@ -195,8 +195,9 @@
     let live: Vec<&Other> = others.iter().filter(|o| o.age_ms < stale_ms).collect();
     let zone = &gw.settings.zone;
     let (near, far): (Vec<&Other>, Vec<&Other>) = live.iter().partition(|o| o.entry.zone == *zone);
-    let addresses = |of: Vec<&Other>| of.iter().map(|o| o.entry.peer).collect();
-    gw.hints.set_peers(addresses(near), addresses(far));
+    let addresses = |of: &[&Other]| of.iter().map(|o| o.entry.peer).collect();
+    gw.crashes.set_peers(addresses(&live));
+    gw.hints.set_peers(addresses(&near), addresses(&far));
     gw.set_peers(others.iter().map(|o| o.entry.peer.ip()).collect());
     let counted = 1 + others.iter().filter(|o| o.age_ms < FORGOTTEN_MS).count();
     gw.retries.borrow_mut().set_routers(u32::try_from(counted).unwrap_or(u32::MAX));
--- a/src/gateway/targets.rs
+++ b/src/gateway/targets.rs
@@ -126,9 +126,9 @@
         Incarnation(target_word(&format!("{}/{born}", info.id)))
     }
 
-    /// Whether it is to take work and nothing says that it will leave.
+    /// Whether nothing says that it leaves. An entry that the store lost says nothing.
     pub fn is_expected_to_stay(&self) -> bool {
-        self.info.borrow().state == TargetState::Ready && !self.lapsed.get()
+        self.info.borrow().state == TargetState::Ready
     }
 
     /// A request got an answer.
@@ -322,7 +322,10 @@
     pub fn remove(&self, id: &str) -> bool {
         let mut all = self.all.borrow_mut();
         let found = all.binary_search_by(|b| b.info.borrow().id.as_str().cmp(id));
-        found.map(|i| all.remove(i).lapsed.set(true)).is_ok()
+        let Ok(i) = found else { return false };
+        // What still runs there has it in hand; it ends when that is over.
+        all.remove(i).info.borrow_mut().state = TargetState::Draining;
+        true
     }
 
     /// A target's entry is gone, perhaps only because the store was away: the target is used
--- a/tests/test_gateway_fatal.rs
+++ b/tests/test_gateway_fatal.rs
@@ -6,6 +6,7 @@
 use kingcupwall::http1::Conn;
 use kingcupwall::standin::gateway::{FATAL_BODY, LocalPlatform, StandinTarget, TargetFault, parts};
 use kingcupwall::standin::gateway_host::GatewayHost;
+use rstest::rstest;
 
 use crate::gatedir::{Call, Got, eventually, local};
 
@@ -260,3 +261,36 @@
         assert_eq!(fleet.ended(), CRASHES_TO_CONVICT);
     });
 }
+
+#[rstest]
+#[case::announced("draining", 0)]
+#[case::entry_lost("ready", 1)]
+fn target_ends_while_store_says(#[case] state: &str, #[case] counted: u64) {
+    // A long answer breaks off because its target leaves as announced: nobody's request is the
+    // cause. An entry that lapsed in an outage of the store announces nothing.
+    local(async {
+        let fleet = Fleet::start().await;
+        let gw = &fleet.routers[0].gw;
+        fleet.targets.iter().for_each(|t| t.set_event_gap(Duration::from_millis(10)));
+        let front = fleet.routers[0].front;
+        let call = Call::get("/stream/a").tokens(10, 1_000);
+        let got = tokio::task::spawn_local(async move { call.send(front).await });
+        let has_it = |t: &&StandinTarget| !t.runs().is_empty();
+        eventually("it runs", || fleet.targets.iter().any(|t| has_it(&t))).await;
+        let target = fleet.targets.iter().find(has_it).unwrap();
+        let ready = gw.targets.count().1;
+        match state {
+            "ready" => gw.targets.lapse(&target.id),
+            _ => {
+                fleet.platform.register(target, state);
+                eventually("it leaves", || gw.targets.count().1 < ready).await;
+            }
+        }
+        target.end();
+        let got = got.await.unwrap();
+        assert!(got.status() == 502 || !got.whole);
+        // Nothing listens there any more: the answer comes at once.
+        tokio::time::sleep(Duration::from_millis(50)).await;
+        assert_eq!(gw.stats.targets_ended.get(), counted);
+    });
+}
