--- a/src/cmd/experiment.rs
+++ b/src/cmd/experiment.rs
@@ -4,10 +4,10 @@
 use serde::Serialize;
 
 use crate::error::Result;
-use crate::experiment::{budget, capacity, overhead};
+use crate::experiment::{budget, capacity, overhead, quarantine};
 
-/// Measure decisions: budget in virtual time over in-memory fakes, the others in
-/// real time
+/// Measure decisions: budget in virtual time over in-memory fakes, quarantine in a
+/// model, the others in real time
 ///
 /// Example: kingcupwall experiment budget --json
 #[derive(Clone, Debug, Bpaf)]
@@ -24,7 +24,7 @@
     only: String,
     /// Print one JSON object a cell
     json: bool,
-    /// Which: budget, capacity, overhead
+    /// Which: budget, capacity, overhead, quarantine
     #[bpaf(positional("NAME"))]
     name: Name,
 }
@@ -34,6 +34,7 @@
     Budget,
     Capacity,
     Overhead,
+    Quarantine,
 }
 
 impl std::str::FromStr for Name {
@@ -44,7 +45,10 @@
             "budget" => Ok(Name::Budget),
             "capacity" => Ok(Name::Capacity),
             "overhead" => Ok(Name::Overhead),
-            other => Err(format!("no experiment {other:?}; there are: budget, capacity, overhead")),
+            "quarantine" => Ok(Name::Quarantine),
+            other => Err(format!(
+                "no experiment {other:?}; there are: budget, capacity, overhead, quarantine"
+            )),
         }
     }
 }
@@ -77,6 +81,10 @@
             args.show(&overhead::run(args.requests).await?);
             Ok(())
         }),
+        Name::Quarantine => {
+            quarantine::run(args.seed, &args.only, |c| args.show(c));
+            Ok(())
+        }
     }
 }
 
--- a/src/experiment/mod.rs
+++ b/src/experiment/mod.rs
@@ -3,3 +3,4 @@
 pub mod budget;
 pub mod capacity;
 pub mod overhead;
+pub mod quarantine;
--- a/tests/test_gateway_quarantine.rs
+++ b/tests/test_gateway_quarantine.rs
@@ -1,5 +1,6 @@
 //! Which requests count as the cause of targets' ends, without sockets.
 
+use kingcupwall::experiment::quarantine::{Sharing, Trouble, run};
 use kingcupwall::gateway::fingerprint::Fingerprint;
 use kingcupwall::gateway::quarantine::{
     CRASHES_TO_CONVICT, Crash, EndedWell, HELD_BACK_MS, Incarnation, Quarantine, Report,
@@ -231,6 +232,20 @@
     assert!(!innocent_held, "{most} targets ended under an innocent request");
 }
 
+#[rstest]
+#[case("RowsAndDatagrams/Cause/6")]
+#[case("RowsAndDatagrams/CauseWithoutStore/6")]
+#[case("RowsAndDatagrams/Waves/6")]
+fn fleet_holds_back_the_cause_alone(#[case] cell: &str, #[values(1, 2, 3)] seed: u64) {
+    // One router in six learns of each end by itself; the cause comes to any of them.
+    run(seed, cell, |c| {
+        assert_eq!(c.sharing, Sharing::RowsAndDatagrams);
+        assert_eq!(c.others_held_back, 0);
+        assert!(c.ended <= 2 * CRASHES_TO_CONVICT as u64, "{c:?}");
+        assert!(c.trouble == Trouble::Waves || c.ended >= CRASHES_TO_CONVICT as u64, "{c:?}");
+    });
+}
+
 proptest! {
     #[test]
     fn innocent_in_waves(seed: u64, times in prop::collection::vec((0_u64..60_000, 1_u64..4), 0..4)) {
