--- a/soak/src/callers.rs
+++ b/soak/src/callers.rs
@@ -9,7 +9,7 @@
 use compact_str::{CompactString, format_compact};
 use fastrand::Rng;
 use kingcupwall::http1::{Conn, ResponseHead, header};
-use kingcupwall::standin::gateway::TOKENS_PER_EVENT;
+use kingcupwall::standin::gateway_target::TOKENS_PER_EVENT;
 use kingcupwall_platform::names;
 use serde_json::Value;
 use tokio::time::{sleep, timeout};
--- a/soak/src/checks.rs
+++ b/soak/src/checks.rs
@@ -3,7 +3,7 @@
 use std::collections::HashMap;
 
 use compact_str::CompactString;
-use kingcupwall::standin::gateway::{Seen, TOKENS_PER_EVENT};
+use kingcupwall::standin::gateway_target::{Seen, TOKENS_PER_EVENT};
 
 use crate::callers::Exchange;
 
--- a/soak/src/fatal.rs
+++ b/soak/src/fatal.rs
@@ -7,7 +7,7 @@
 use compact_str::{CompactString, format_compact};
 use fastrand::Rng;
 use kingcupwall::gateway::quarantine::CRASHES_TO_CONVICT;
-use kingcupwall::standin::gateway::{FATAL_BODY, Seen};
+use kingcupwall::standin::gateway_target::{FATAL_BODY, Seen};
 use kingcupwall_platform::names;
 use tokio::time::{Instant, sleep, timeout};
 
--- a/soak/src/faults.rs
+++ b/soak/src/faults.rs
@@ -5,7 +5,7 @@
 
 use fastrand::Rng;
 use kingcupwall::rows::Fault as StoreFault;
-use kingcupwall::standin::gateway::TargetFault;
+use kingcupwall::standin::gateway_target::TargetFault;
 
 use crate::proxy::Mode;
 
--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -11,7 +11,7 @@
 use fastrand::Rng;
 use kingcupwall::allowance::Ledger;
 use kingcupwall::rows::{Fault as StoreFault, MemoryRows, RowStore};
-use kingcupwall::standin::gateway::{Seen, StandinTarget, TOKENS_PER_EVENT, TargetNames};
+use kingcupwall::standin::gateway_target::{Seen, StandinTarget, TOKENS_PER_EVENT, TargetNames};
 use kingcupwall_platform::names;
 use rustix::process::Signal;
 use serde_json::json;
--- a/soak/tests/tests.rs
+++ b/soak/tests/tests.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use kingcupwall::http1::Header;
-use kingcupwall::standin::gateway::Seen;
+use kingcupwall::standin::gateway_target::Seen;
 use kingcupwall_soak::callers::{Asked, Exchange};
 use kingcupwall_soak::checks::check;
 use kingcupwall_soak::faults::{Parts, next};
--- a/src/cmd/gateway_demo.rs
+++ b/src/cmd/gateway_demo.rs
@@ -12,8 +12,9 @@
 use crate::error::{Error, Kind, Result};
 use crate::http1::Conn;
 use crate::rows::RowStore;
-use crate::standin::gateway::{LocalPlatform, StandinTarget, TOKENS_PER_EVENT, TargetFault, parts};
+use crate::standin::gateway::{LocalPlatform, parts};
 use crate::standin::gateway_host::GatewayHost;
+use crate::standin::gateway_target::{StandinTarget, TOKENS_PER_EVENT, TargetFault};
 
 /// Availability zones, with one router and two targets each.
 const ZONES: [&str; 3] = ["zone-1", "zone-2", "zone-3"];
--- /dev/null
+++ b/src/standin/gateway_target.rs
@@ -0,0 +1,317 @@
+//! Targets that speak the request protocol and fail as they are told.
+
+use std::cell::RefCell;
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use compact_str::CompactString;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+use tokio::task::spawn_local;
+
+use super::gateway::{SEAL, names};
+use crate::error::Result;
+use crate::gateway::Names;
+use crate::http1::{Conn, Header, RequestHead, header};
+
+/// How long a stand-in's bytes may stay unacknowledged.
+const SILENCE: Duration = Duration::from_secs(5);
+/// The longest request a stand-in takes, in bytes.
+const MAX_REQUEST: u64 = 1024 * 1024;
+/// The body of a request that ends any target which runs it.
+pub const FATAL_BODY: &[u8] = b"fatal";
+/// Tokens in one event of a stand-in's stream.
+pub const TOKENS_PER_EVENT: u64 = 2;
+
+/// What a target does with one request instead of answering it.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum TargetFault {
+    /// Says that it is full; does not run it.
+    Full,
+    /// Says that another target has the address; does not run it.
+    OtherTarget,
+    /// Runs it and answers with a failure.
+    Fails,
+    /// Runs it and closes the connection without an answer.
+    LosesAnswer,
+    /// Takes it and never answers.
+    Hangs,
+    /// Sends bytes that are no response.
+    Garbage,
+    /// Breaks off within the body.
+    CutsBody,
+    /// Answers, and then once more with another request's id.
+    AnswersTwice,
+    /// Breaks off within the event after so many whole ones.
+    CutsStream(u64),
+}
+
+/// A request as a target saw it.
+#[derive(Clone, Debug)]
+pub struct Seen {
+    /// The caller's id.
+    pub id: CompactString,
+    /// Path and query.
+    pub target: CompactString,
+    /// All its headers.
+    pub headers: Vec<Header>,
+    /// Its body.
+    pub body: Bytes,
+}
+
+#[derive(Debug, Default)]
+struct Shared {
+    faults: VecDeque<TargetFault>,
+    runs: Vec<Seen>,
+    closed_early: u64,
+    event_gap: Duration,
+    ended: watch::Sender<bool>,
+}
+
+/// A target on a port of its own.
+#[derive(Clone, Debug)]
+pub struct StandinTarget {
+    /// Its id.
+    pub id: CompactString,
+    /// Its service.
+    pub service: CompactString,
+    /// Its availability zone.
+    pub zone: CompactString,
+    /// Its address.
+    pub addr: SocketAddr,
+    names: Rc<TargetNames>,
+    shared: Rc<RefCell<Shared>>,
+}
+
+/// Names of headers that a target reads and writes.
+#[derive(Clone, Debug)]
+pub struct TargetNames {
+    /// Those it shares with routers.
+    pub headers: Names,
+    /// The header that proves whose answer it is.
+    pub seal: CompactString,
+}
+
+impl StandinTarget {
+    /// Starts a target.
+    ///
+    /// # Errors
+    /// Those of listening.
+    pub async fn start(id: &str, service: &str, zone: &str) -> Result<StandinTarget> {
+        let names = TargetNames { headers: names(), seal: SEAL.into() };
+        StandinTarget::start_named(id, service, zone, names).await
+    }
+
+    /// Starts a target that uses other names of headers.
+    ///
+    /// # Errors
+    /// Those of listening.
+    pub async fn start_named(
+        id: &str,
+        service: &str,
+        zone: &str,
+        names: TargetNames,
+    ) -> Result<StandinTarget> {
+        let listener = TcpListener::bind("127.0.0.1:0").await?;
+        let target = StandinTarget {
+            id: id.into(),
+            service: service.into(),
+            zone: zone.into(),
+            addr: listener.local_addr()?,
+            names: Rc::new(names),
+            shared: Rc::default(),
+        };
+        let serving = target.clone();
+        spawn_local(async move {
+            let accept = async {
+                while let Ok((io, _)) = listener.accept().await {
+                    spawn_local(serving.clone().serve(io));
+                }
+            };
+            serving.until_ended(accept).await;
+        });
+        Ok(target)
+    }
+
+    /// The next requests meet these faults, one each.
+    pub fn fail(&self, faults: &[TargetFault]) {
+        self.shared.borrow_mut().faults.extend(faults);
+    }
+
+    /// Pause between two events of a stream, and before a fatal request ends this target.
+    pub fn set_event_gap(&self, gap: Duration) {
+        self.shared.borrow_mut().event_gap = gap;
+    }
+
+    /// The requests that it ran.
+    pub fn runs(&self) -> Vec<Seen> {
+        self.shared.borrow().runs.clone()
+    }
+
+    /// Ends as a process does that crashes: nobody listens any more, all connections break.
+    pub fn end(&self) {
+        self.shared.borrow().ended.send_replace(true);
+    }
+
+    /// Ends after the pause between two events, also if the connection is closed meanwhile.
+    fn end_later(&self) {
+        let target = self.clone();
+        spawn_local(async move {
+            let gap = target.shared.borrow().event_gap;
+            tokio::time::sleep(gap).await;
+            target.end();
+        });
+    }
+
+    /// Whether it has ended.
+    pub fn has_ended(&self) -> bool {
+        *self.shared.borrow().ended.borrow()
+    }
+
+    /// Waits until it has ended.
+    pub async fn wait_end(&self) {
+        self.until_ended(std::future::pending()).await;
+    }
+
+    /// Does `work` until this target ends.
+    async fn until_ended(&self, work: impl Future<Output = ()>) {
+        let mut ended = self.shared.borrow().ended.subscribe();
+        tokio::select! {
+            biased;
+            // The sender lives as long as this target: the channel cannot be closed.
+            _ = ended.wait_for(|ended| *ended) => (),
+            () = work => (),
+        }
+    }
+
+    /// Requests whose connection was closed before their answer was whole.
+    pub fn closed_early(&self) -> u64 {
+        self.shared.borrow().closed_early
+    }
+
+    async fn serve(self, io: TcpStream) {
+        let Ok(mut conn) = Conn::new(io, SILENCE) else { return };
+        let answer_all = async {
+            while let Ok(head) = conn.read_request(64 * 1024).await {
+                let Ok(Some(body)) = conn.read_body(head.body, MAX_REQUEST).await else { return };
+                if !self.answer(&mut conn, &head, body).await {
+                    return;
+                }
+            }
+        };
+        self.until_ended(answer_all).await;
+    }
+
+    /// Answers one request. Returns whether the connection goes on.
+    async fn answer(&self, conn: &mut Conn, head: &RequestHead, body: Bytes) -> bool {
+        let names = &self.names.headers;
+        let id: CompactString = header(&head.headers, &names.request_id).unwrap_or_default().into();
+        let expected = header(&head.headers, &names.expect_target);
+        let fault = self.shared.borrow_mut().faults.pop_front();
+        if fault == Some(TargetFault::OtherTarget) || expected != Some(self.id.as_str()) {
+            return write(conn, &self.short(421, &id, "", "")).await;
+        }
+        if fault == Some(TargetFault::Full) {
+            return write(conn, &self.short(503, &id, &format!("{}: 1\r\n", names.not_run), ""))
+                .await;
+        }
+        let seen = Seen {
+            id: id.clone(),
+            target: head.target.clone(),
+            headers: head.headers.clone(),
+            body,
+        };
+        let is_fatal = seen.body == FATAL_BODY;
+        self.shared.borrow_mut().runs.push(seen);
+        if is_fatal {
+            self.end_later();
+            return std::future::pending().await;
+        }
+        let seal = format!("{}: {}.{id}\r\n", self.names.seal, self.id);
+        let text = format!("answer of {} to {id}", self.id);
+        match fault {
+            Some(TargetFault::Fails) => write(conn, &self.short(500, &id, &seal, "failed")).await,
+            Some(TargetFault::LosesAnswer) => false,
+            Some(TargetFault::Hangs) => {
+                conn.closed().await;
+                self.shared.borrow_mut().closed_early += 1;
+                false
+            }
+            Some(TargetFault::Garbage) => {
+                write(conn, b"\x00\x01 this is no response\r\n\r\n").await;
+                false
+            }
+            Some(TargetFault::CutsBody) => {
+                let whole = self.short(200, &id, &seal, &text);
+                write(conn, &whole[..whole.len() - 3]).await;
+                false
+            }
+            Some(TargetFault::AnswersTwice) => {
+                let mut both = self.short(200, &id, &seal, &text);
+                both.extend(self.short(200, "someone-else", &seal, "not for you"));
+                write(conn, &both).await
+            }
+            _ if head.target.starts_with("/stream/") || head.target.starts_with("/resumable/") => {
+                self.stream(conn, head, &id, &seal, fault).await
+            }
+            _ => write(conn, &self.short(200, &id, &seal, &text)).await,
+        }
+    }
+
+    async fn stream(
+        &self,
+        conn: &mut Conn,
+        head: &RequestHead,
+        id: &str,
+        seal: &str,
+        fault: Option<TargetFault>,
+    ) -> bool {
+        let names = &self.names.headers;
+        let counts = header(&head.headers, &names.token_counts).and_then(|v| v.split_once(','));
+        let output: u64 = counts.and_then(|(_, o)| o.trim().parse().ok()).unwrap_or(10);
+        let last = header(&head.headers, &names.last_event_id);
+        let from: u64 = last.and_then(|v| v.parse().ok()).unwrap_or(0);
+        let start = format!(
+            "HTTP/1.1 200 OK\r\n{}: {id}\r\n{seal}Content-Type: text/event-stream\r\n\
+             Transfer-Encoding: chunked\r\n\r\n",
+            names.request_id
+        );
+        if !write(conn, start.as_bytes()).await {
+            return false;
+        }
+        let gap = self.shared.borrow().event_gap;
+        for n in from + 1..=output / TOKENS_PER_EVENT {
+            let event = format!("id: {n}\ndata: token {n}\n\n");
+            if fault == Some(TargetFault::CutsStream(n - 1)) {
+                write(conn, format!("{:x}\r\n{}", event.len(), &event[..6]).as_bytes()).await;
+                return false;
+            }
+            let chunk = format!("{:x}\r\n{event}\r\n", event.len());
+            let left = tokio::select! {
+                () = conn.closed(), if !gap.is_zero() => true,
+                () = tokio::time::sleep(gap), if !gap.is_zero() => false,
+                else => false,
+            };
+            if left || !write(conn, chunk.as_bytes()).await {
+                self.shared.borrow_mut().closed_early += 1;
+                return false;
+            }
+        }
+        write(conn, b"0\r\n\r\n").await
+    }
+
+    fn short(&self, status: u16, id: &str, headers: &str, body: &str) -> Vec<u8> {
+        let (name, len) = (&self.names.headers.request_id, body.len());
+        format!(
+            "HTTP/1.1 {status} Stated\r\n{name}: {id}\r\n{headers}Content-Length: {len}\r\n\r\n{body}"
+        )
+        .into_bytes()
+    }
+}
+
+async fn write(conn: &mut Conn, bytes: &[u8]) -> bool {
+    conn.write(bytes).await.is_ok()
+}
--- a/src/standin/mod.rs
+++ b/src/standin/mod.rs
@@ -5,6 +5,7 @@
 pub mod fleet;
 pub mod gateway;
 pub mod gateway_host;
+pub mod gateway_target;
 pub mod local;
 pub mod local_fleet;
 pub mod platform;
--- a/tests/gatedir.rs
+++ b/tests/gatedir.rs
@@ -4,8 +4,9 @@
 use std::time::Duration;
 
 use kingcupwall::http1::{Conn, ResponseHead, header};
-use kingcupwall::standin::gateway::{LocalPlatform, StandinTarget, parts};
+use kingcupwall::standin::gateway::{LocalPlatform, parts};
 use kingcupwall::standin::gateway_host::GatewayHost;
+use kingcupwall::standin::gateway_target::StandinTarget;
 use tokio::task::LocalSet;
 
 /// Runs a test on one thread with local tasks, as the daemon does.
--- a/tests/test_gateway.rs
+++ b/tests/test_gateway.rs
@@ -7,8 +7,9 @@
 use kingcupwall::http1::{Conn, header};
 use kingcupwall::ids::Tokens;
 use kingcupwall::rows::{Fault, RowStore};
-use kingcupwall::standin::gateway::{LocalPlatform, TargetFault, parts};
+use kingcupwall::standin::gateway::{LocalPlatform, parts};
 use kingcupwall::standin::gateway_host::GatewayHost;
+use kingcupwall::standin::gateway_target::TargetFault;
 
 use crate::gatedir::{Call, Fleet, Got, eventually, local};
 
--- a/tests/test_gateway_fatal.rs
+++ b/tests/test_gateway_fatal.rs
@@ -4,8 +4,9 @@
 
 use kingcupwall::gateway::quarantine::CRASHES_TO_CONVICT;
 use kingcupwall::http1::Conn;
-use kingcupwall::standin::gateway::{FATAL_BODY, LocalPlatform, StandinTarget, TargetFault, parts};
+use kingcupwall::standin::gateway::{LocalPlatform, parts};
 use kingcupwall::standin::gateway_host::GatewayHost;
+use kingcupwall::standin::gateway_target::{FATAL_BODY, StandinTarget, TargetFault};
 use rstest::rstest;
 
 use crate::gatedir::{Call, Got, eventually, local};
