Rows name hundreds of accidents no longer than they can matter

Found by reading: after a rack fails each router reported up to 24 crashes for five minutes, in a table that all routers read whole every 2 s; with 195 routers 234 kB a reading instead of 21. Now crashes under which nothing else ended are reported for 10 s, eight a router, those of the shortest runs first (the cause ends its target soon). Tests: report_is_bounded_and_names_the_cause (also later), report_names_the_cause_among_many (fails with any other order).

--- a/src/experiment/quarantine.rs
+++ b/src/experiment/quarantine.rs
@@ -280,7 +280,7 @@
             if !is_due {
                 continue;
             }
-            self.rows[router] = (self.routers[router].report(), u64::MAX);
+            self.rows[router] = (self.routers[router].report(StoreMs(now)), u64::MAX);
             for (report, _) in self.rows.iter().filter(|(r, _)| *r != Report::default()) {
                 self.routers[router].take(report, Source::Other);
             }
--- a/src/gateway/crashes.rs
+++ b/src/gateway/crashes.rs
@@ -61,8 +61,8 @@
     }
 
     /// What this router's row says.
-    pub fn report(&self) -> Report {
-        self.known.borrow().report()
+    pub fn report(&self, now: StoreMs) -> Report {
+        self.known.borrow().report(now)
     }
 
     /// Takes in what rows say: of this router's predecessor, or of others.
--- a/src/gateway/members.rs
+++ b/src/gateway/members.rs
@@ -161,7 +161,7 @@
         rate: gw.rate.get(),
         capacity: s.capacity,
         beat: seen,
-        report: gw.crashes.report(),
+        report: gw.crashes.report(seen),
     };
     let at = RowKey::new(TABLE, &s.instance);
     let tx = Tx { write: vec![(at, entry.encode())], ..Tx::default() };
--- a/src/gateway/quarantine.rs
+++ b/src/gateway/quarantine.rs
@@ -25,8 +25,14 @@
 pub const SUSPECTED_MS: u64 = 300_000;
 /// Requests that are remembered, at most; those with the fewest and oldest crashes go first.
 const MAX_KNOWN: usize = 2_048;
-/// Crashes in a router's report, at most. All routers read all reports every few seconds.
+/// Crashes in a router's report of requests under which several targets ended, at most. All
+/// routers read all reports every few seconds.
 const MAX_REPORTED: usize = 24;
+/// How long and how many crashes are reported of requests under which only one target ended. After
+/// a rack has failed these are hundreds, and nearly all of them say nothing: reported for as long
+/// as they are remembered, they make the routers' table several times as large for minutes.
+const SINGLE_REPORTED_MS: u64 = 10_000;
+const MAX_SINGLES_REPORTED: usize = 8;
 
 /// One start of a target, by a digest of its id and start.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd, Deserialize, Serialize)]
@@ -122,6 +128,11 @@
         StoreMs(self.latest().0.saturating_add(ms))
     }
 
+    /// The crashes that this router has to report.
+    fn own(&self) -> impl Iterator<Item = Crash> {
+        self.crashes.iter().filter(|c| c.source == Source::Own).map(|c| c.what)
+    }
+
     /// What is given up last has the highest worth.
     fn worth(&self) -> (usize, StoreMs) {
         (self.crashes.len(), self.latest())
@@ -205,18 +216,24 @@
         self.known.retain(|r| r.over() > now);
     }
 
-    /// What this router has to report: the crashes of those with the most of them first.
-    pub fn report(&self) -> Report {
+    /// What this router has to report at `now`: the crashes of requests with the most of them
+    /// first.
+    pub fn report(&self, now: StoreMs) -> Report {
         let mut records: Vec<&Record> = self.known.iter().collect();
         records.sort_by_key(|r| std::cmp::Reverse(r.worth()));
-        let own = |c: &&Noted<Crash>| c.source == Source::Own;
-        let crashes = records.iter().flat_map(|r| &r.crashes).filter(own).map(|c| c.what);
-        let well = records.iter().filter_map(|r| r.ended_well);
+        let (several, single): (Vec<&Record>, Vec<&Record>) =
+            records.into_iter().partition(|r| r.crashes.len() > 1);
+        let mut crashes: Vec<Crash> = several.iter().flat_map(|r| r.own()).collect();
+        crashes.truncate(MAX_REPORTED);
+        let is_new = |c: &Crash| now.0.saturating_sub(c.at.0) < SINGLE_REPORTED_MS;
+        let mut singles: Vec<Crash> = single.iter().flat_map(|r| r.own()).filter(is_new).collect();
+        // The cause ends its target soon; what ran for long had ended others before.
+        singles.sort_by_key(|c| c.at.0.saturating_sub(c.began.0));
+        crashes.extend(singles.iter().take(MAX_SINGLES_REPORTED));
+        let well = self.known.iter().filter_map(|r| r.ended_well);
         let well = well.filter(|w| w.source == Source::Own).map(|w| w.what);
-        Report {
-            crashes: crashes.take(MAX_REPORTED).collect(),
-            ended_well: well.take(MAX_REPORTED).collect(),
-        }
+        let is_new = |w: &EndedWell| now.0.saturating_sub(w.at.0) < SINGLE_REPORTED_MS;
+        Report { crashes, ended_well: well.filter(is_new).take(MAX_REPORTED).collect() }
     }
 
     fn find(&self, request: Fingerprint) -> Result<usize, usize> {
--- a/tests/test_gateway_quarantine.rs
+++ b/tests/test_gateway_quarantine.rs
@@ -89,7 +89,7 @@
     assert!(!q.note(crash(CAUSE, 1, 20, 95), Source::Own));
     assert_eq!(q.crashes(CAUSE), 1);
     // What this router saw as well it reports, although another one was first.
-    assert_eq!(q.report().crashes.len(), 1);
+    assert_eq!(q.report(StoreMs(100)).crashes.len(), 1);
 }
 
 #[rstest]
@@ -109,13 +109,13 @@
 fn take_report_of_predecessor() {
     let before = ended_in_turn(CAUSE, CRASHES_TO_CONVICT);
     let mut after = Quarantine::default();
-    after.take(&before.report(), Source::Own);
+    after.take(&before.report(StoreMs(1_000)), Source::Own);
     assert!(is_held_back(&after, CAUSE, 1_000));
-    assert_eq!(after.report(), before.report());
+    assert_eq!(after.report(StoreMs(1_000)), before.report(StoreMs(1_000)));
     let mut other = Quarantine::default();
-    other.take(&before.report(), Source::Other);
+    other.take(&before.report(StoreMs(1_000)), Source::Other);
     assert!(is_held_back(&other, CAUSE, 1_000));
-    assert_eq!(other.report(), Report::default());
+    assert_eq!(other.report(StoreMs(1_000)), Report::default());
 }
 
 #[test]
@@ -125,13 +125,28 @@
     for n in 100..5_000 {
         q.note(crash(Fingerprint(n), n, 10_000, 20_000), Source::Own);
     }
-    let report = q.report();
+    let report = q.report(StoreMs(21_000));
     let mut bytes = Vec::new();
     ciborium::into_writer(&report, &mut bytes).unwrap();
-    assert!(bytes.len() < 1_200, "{} bytes", bytes.len());
+    assert!(bytes.len() < 600, "{} bytes", bytes.len());
     let named = report.crashes.iter().filter(|c| c.request == CAUSE).count();
     assert_eq!(named, CRASHES_TO_CONVICT);
     assert!(is_held_back(&q, CAUSE, 30_000));
+    // A while later only what several targets ended under is left: hundreds of routers read it.
+    let later = q.report(StoreMs(40_000));
+    assert_eq!(later.crashes.len(), CRASHES_TO_CONVICT);
+}
+
+#[test]
+fn report_names_the_cause_among_many() {
+    // The first target ends with twenty streams and the cause, which had just been sent there.
+    // The report has no room for all of them; by rows alone the others never hear of the cause.
+    let mut q = Quarantine::default();
+    for n in 100..120 {
+        q.note(crash(Fingerprint(n), 1, 20 * n, 5_000), Source::Own);
+    }
+    q.note(crash(CAUSE, 1, 4_900, 5_000), Source::Own);
+    assert!(q.report(StoreMs(5_100)).crashes.iter().any(|c| c.request == CAUSE));
 }
 
 #[test]
