Soak: the calm begins when all faults are over

Cause: SIGTERM twice for one router, the second queued behind the first: 7.4 s (a loan was left, the whole grace is waited for) and 3.0 s, then a start that reads a large configuration over a narrow link in 2.1 s; 12.5 s, and the calm was counted as 12 s from the beginning of the last fault. Ruled out: the daemon, which was ready 2.1 s after its start as in other runs.

--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -79,7 +79,7 @@
     /// Requests by how they ended: whole successes, refusals, all.
     pub counts: (usize, usize, usize),
     /// Faults.
-    pub faults: u32,
+    pub faults: usize,
     /// Everything that did not hold.
     pub violations: Vec<String>,
     /// Where the routers' logs are; kept only if something did not hold.
@@ -292,22 +292,30 @@
         }
     }
 
-    /// Breaks things for the time of the setup. Returns how many.
-    async fn break_for(self: &Rc<World>, setup: &Setup) -> u32 {
+    /// Breaks things for the time of the setup, and waits until all of it is over: a stop may be
+    /// asked for while the one before still takes its whole grace, and begins only after it. Returns
+    /// how many.
+    async fn break_for(self: &Rc<World>, setup: &Setup) -> usize {
         let mut rng = Rng::with_seed(setup.seed);
         let parts = Parts { routers: self.routers.len(), targets: TARGETS, orgs: PREPAID.len() };
         let until = Instant::now() + setup.faults_for;
         spawn_local(self.clone().grow(setup.faults_for / 3));
-        let mut faults = 0;
+        let mut strikes = Vec::new();
         loop {
             let (pause, fault) = next(&mut rng, parts);
             if Instant::now() + pause > until {
-                return faults;
+                break;
             }
             sleep(pause).await;
-            faults += 1;
-            spawn_local(self.clone().strike(fault));
+            strikes.push(spawn_local(self.clone().strike(fault)));
         }
+        let faults = strikes.len();
+        for strike in strikes {
+            if let Err(e) = strike.await {
+                self.note(format!("a fault could not be brought about: {e}"));
+            }
+        }
+        faults
     }
 
     /// Makes the configuration large after a while.
@@ -461,7 +469,7 @@
         all.flat_map(StandinTarget::runs).collect()
     }
 
-    fn report(&self, seed: u64, faults: u32, logs: PathBuf) -> Report {
+    fn report(&self, seed: u64, faults: usize, logs: PathBuf) -> Report {
         let seen = self.callers.seen.borrow();
         let mut violations = check(&seen, &self.runs(), &self.prepaid.borrow());
         violations.extend(self.found.borrow().iter().cloned());
