A target that takes connections again has not ended

Found by reading: one refused connection (a target with all the connections it can keep) marked its process as ended for good, and answers lost long after that would have counted as crashes. A connection it takes, or an answer, clears it. Test: target_refuses_connections_and_lives (a request was held back without the mend).

--- a/src/gateway/crashes.rs
+++ b/src/gateway/crashes.rs
@@ -29,8 +29,9 @@
 const GATHER: Duration = Duration::from_millis(5);
 /// Least pause between two writings of this router's row because of crashes.
 const WRITE_PAUSE: Duration = Duration::from_millis(500);
-/// Crashes in one datagram, at most; 40 bytes each keep it under a usual packet.
-const MAX_TOLD: usize = 30;
+/// Crashes, and good ends, in one datagram, at most; 70 bytes for one of each keep it under a usual
+/// packet.
+const MAX_TOLD: usize = 20;
 /// How long after its caller left a request still counts as one that its target had: the target
 /// hears of it late, and may have begun to run it.
 const LEFT: Duration = Duration::from_millis(500);
@@ -141,9 +142,9 @@
 }
 
 fn note_held_back<P: Platform>(gw: &Gateway<P>) {
-    let n = gw.crashes.known.borrow().held_back();
-    let before = gw.stats.held_back.set(i64::try_from(n).unwrap_or(i64::MAX));
-    if before != n as i64 {
+    let n = i64::try_from(gw.crashes.known.borrow().held_back()).unwrap_or(i64::MAX);
+    let before = gw.stats.held_back.set(n);
+    if before != n {
         gw.log.note("quarantine", format_args!("held_back={n} before={before}"));
     }
 }
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -92,6 +92,7 @@
     pub(super) at: Option<Rc<Backend>>,
     /// See `at`.
     pub sent: Instant,
+    /// Computed when it is first asked for; see `Job::fingerprint`.
     pub(super) fingerprint: OnceCell<Fingerprint>,
 }
 
@@ -220,6 +221,7 @@
             sent: started,
             fingerprint: OnceCell::new(),
         };
+        // First, so that it takes no part of the budget and waits for none.
         job.check_quarantine()?;
         job.take_budget().await?;
         Ok(job)
--- a/src/gateway/liveness.rs
+++ b/src/gateway/liveness.rs
@@ -26,6 +26,12 @@
         }
     }
 
+    /// It took a connection or answered: it lives, whatever it refused a moment ago. Targets also
+    /// refuse connections beyond those that they can keep.
+    pub fn lives(&self) {
+        self.ended.set(false);
+    }
+
     /// Whether the process is known to have ended.
     pub fn has_ended(&self) -> bool {
         self.ended.get()
@@ -48,6 +54,7 @@
     let began = Instant::now();
     match dial(backend.addr()).await {
         Ok(link) => {
+            life.lives();
             *reached = Some(began);
             backend.pool.borrow_mut().put_new(link.conn);
         }
--- a/src/gateway/send.rs
+++ b/src/gateway/send.rs
@@ -42,10 +42,16 @@
         let kept = backend.pool.borrow_mut().take();
         let mut link = match kept {
             Some(link) => link,
-            None => dial(backend.addr()).await.map_err(|e| {
-                backend.life.unreached(&e);
-                Ended::NotSent
-            })?,
+            None => match dial(backend.addr()).await {
+                Ok(link) => {
+                    backend.life.lives();
+                    link
+                }
+                Err(e) => {
+                    backend.life.unreached(&e);
+                    return Err(Ended::NotSent);
+                }
+            },
         };
         let target = backend.id();
         let add = Additions {
--- a/src/gateway/targets.rs
+++ b/src/gateway/targets.rs
@@ -133,6 +133,7 @@
 
     /// A request got an answer.
     pub fn answered(&self) {
+        self.life.lives();
         let mut load = self.load.borrow_mut();
         load.failures = 0;
         load.doubtful_until = None;
@@ -364,6 +365,11 @@
         load.cache.read(parts, now, cache_tokens(&b.info.borrow().service));
     }
 
+    /// All targets.
+    pub fn all(&self) -> Vec<Rc<Backend>> {
+        self.all.borrow().clone()
+    }
+
     /// The ids of all targets.
     pub fn ids(&self) -> Vec<CompactString> {
         self.all.borrow().iter().map(|b| b.id()).collect()
--- a/tests/test_gateway_fatal.rs
+++ b/tests/test_gateway_fatal.rs
@@ -295,3 +295,25 @@
         assert_eq!(gw.stats.targets_ended.get(), counted);
     });
 }
+
+#[test]
+fn target_refuses_connections_and_lives() {
+    // Requests are held back as if targets had ended under them: targets that had all the
+    // connections they can keep refused one, and long after that answers were lost.
+    local(async {
+        let fleet = Fleet::start().await;
+        let front = fleet.routers[0].front;
+        let targets = &fleet.routers[0].gw.targets;
+        let refused = std::io::Error::from(std::io::ErrorKind::ConnectionRefused);
+        for target in targets.all() {
+            target.life.unreached(&refused);
+            assert!(target.life.has_ended());
+        }
+        for n in 0..ENDED_AT_MOST {
+            fleet.targets.iter().for_each(|t| t.fail(&[TargetFault::LosesAnswer]));
+            let call = Call::get("/once/a").id(&format!("l{n}"));
+            assert_eq!(call.send(front).await.status(), 502);
+        }
+        assert_eq!(fleet.routers[0].gw.stats.targets_ended.get(), 0);
+    });
+}
