Tests of three guards that none held: a relayed stream, datagrams alone, a connection that is not answered

Found by taking each guard out: target_ends_mid_stream, fatal_request_while_the_store_is_away and unreached_says_ended_only_if_refused turn red without theirs.

--- a/tests/test_gateway_fatal.rs
+++ b/tests/test_gateway_fatal.rs
@@ -2,8 +2,10 @@
 
 use std::time::Duration;
 
+use kingcupwall::gateway::liveness::Life;
 use kingcupwall::gateway::quarantine::CRASHES_TO_CONVICT;
 use kingcupwall::http1::Conn;
+use kingcupwall::rows::Fault;
 use kingcupwall::standin::gateway::{LocalPlatform, parts};
 use kingcupwall::standin::gateway_host::GatewayHost;
 use kingcupwall::standin::gateway_target::{FATAL_BODY, StandinTarget, TargetFault};
@@ -317,3 +319,45 @@
         assert_eq!(fleet.routers[0].gw.stats.targets_ended.get(), 0);
     });
 }
+
+#[test]
+fn target_ends_mid_stream() {
+    // A request that ends its target only after some events goes on ending targets: its stream
+    // breaks off where answers are relayed, not where they are awaited.
+    local(async {
+        let fleet = Fleet::start().await;
+        fleet.targets.iter().for_each(|t| t.set_event_gap(Duration::from_millis(10)));
+        let mut conn = Conn::dial(fleet.routers[0].front, Duration::from_secs(5)).await.unwrap();
+        let call = Call::get("/stream/a").tokens(10, 1_000);
+        conn.write(&call.bytes()).await.unwrap();
+        // The answer has begun: events of it are here.
+        assert!(conn.has_more().await.unwrap());
+        fleet.targets.iter().find(|t| !t.runs().is_empty()).unwrap().end();
+        assert!(!Got::read(&mut conn).await.whole);
+        let stats = &fleet.routers[0].gw.stats;
+        eventually("it counts", || stats.targets_ended.get() == 1).await;
+    });
+}
+
+#[test]
+fn fatal_request_while_the_store_is_away() {
+    // During an outage of the store each router lets the request end three targets of its own:
+    // rows cannot be written, and what one router saw reaches the other by datagram only.
+    local(async {
+        let fleet = Fleet::start().await;
+        let [first, second] = &fleet.routers[..] else { panic!("two routers") };
+        fleet.routers.iter().for_each(|r| r.platform.rows.set_fault(Fault::Reject(503)));
+        while Call::get("/safe/fatal").body("fatal").send(first.front).await.status() != 503 {}
+        eventually("the other router hears of it", || second.gw.stats.held_back.get() == 1).await;
+    });
+}
+
+#[test]
+fn unreached_says_ended_only_if_refused() {
+    let life = Life::default();
+    life.unreached(&std::io::ErrorKind::TimedOut.into());
+    life.unreached(&std::io::ErrorKind::HostUnreachable.into());
+    assert!(!life.has_ended());
+    life.unreached(&std::io::ErrorKind::ConnectionRefused.into());
+    assert!(life.has_ended());
+}
