Test: a crash told only by a dead router's late write is forgotten (fails)

A router's last write of its row takes effect 1.5 s after its death. Its successor has read the row by then, does not adopt what it says, and writes over it at its next renewal. Fails at "the successor reports the crash"; the mend follows.

--- a/tests/test_gateway_fatal.rs
+++ b/tests/test_gateway_fatal.rs
@@ -352,6 +352,33 @@
     });
 }
 
+#[test]
+fn crash_reported_by_late_write() {
+    // Guards against a crash that is forgotten because a dead router's last write of its row takes
+    // effect only after its successor has read the row.
+    local(async {
+        let late = Duration::from_millis(1_500);
+        let mut fleet = Fleet::start().await;
+        fleet.routers[0].platform.rows.set_fault(Fault::Late(late));
+        fleet.send_fatal(0).await;
+        let reported =
+            |r: &GatewayHost| r.gw.crashes.report(r.gw.keeper.store_now()).crashes.len() == 1;
+        eventually("the crash is known", || reported(&fleet.routers[0])).await;
+        // Until the row is on its way.
+        tokio::time::sleep(Duration::from_millis(700)).await;
+        fleet.routers.drain(..).for_each(GatewayHost::kill);
+        fleet.start_routers(2).await;
+        assert!(!fleet.routers.iter().any(reported));
+        tokio::time::sleep(late).await;
+        eventually("the successor reports the crash", || reported(&fleet.routers[0])).await;
+        // Its own row says so from the next renewal on.
+        tokio::time::sleep(Duration::from_millis(2_200)).await;
+        fleet.routers.drain(..).for_each(GatewayHost::kill);
+        fleet.start_routers(3).await;
+        eventually("the crash is still known", || reported(&fleet.routers[0])).await;
+    });
+}
+
 #[test]
 fn unreached_says_ended_only_if_refused() {
     let life = Life::default();
