A crash told only by a dead router's late write is not forgotten

What callers saw: after a death of all routers a request that ends targets could end one more than it should. Cause: a router adopted the report in its own row at its first reading only. Its predecessor's last write can take effect seconds later (answers of the store are lost, or late); it was then written over at the next renewal, with the only word of the latest crash.

The own row's report is adopted at every reading now. Taking in a report is idempotent, so reading back its own words changes nothing. Ruled out: reading the row under a condition at each write (one conflict a late write, and the same merge after it). crash_reported_by_late_write fails before, holds now.

--- a/src/gateway/members.rs
+++ b/src/gateway/members.rs
@@ -102,9 +102,8 @@
         // Read first: a row written without knowing the store's time would count as stale.
         match gw.platform.scan(TABLE, "").await {
             Ok(page) => {
-                let is_first = reads.latest.is_none();
                 reads.note(page.now);
-                take(&gw, &page, reads.stale_ms(page.now), is_first);
+                take(&gw, &page, reads.stale_ms(page.now));
                 renew(&gw, page.now).await;
             }
             Err(e) => gw.log.routine("members", format_args!("outcome=unread cause={e}")),
@@ -171,7 +170,7 @@
     }
 }
 
-fn take<P: Platform>(gw: &Gateway<P>, page: &Page, stale_ms: u64, is_first: bool) {
+fn take<P: Platform>(gw: &Gateway<P>, page: &Page, stale_ms: u64) {
     let readable = |row: &Row| match Entry::decode(row) {
         Ok(entry) => {
             let age_ms = page.now.0.saturating_sub(entry.beat.0);
@@ -186,9 +185,9 @@
     };
     let (own, others): (Vec<Other>, Vec<Other>) =
         page.rows.iter().filter_map(readable).partition(|row| row.instance == gw.settings.instance);
-    // The first row of its own that a process reads is its predecessor's. What that one reported
-    // would be gone with the next write.
-    let former = own.iter().filter(|_| is_first).map(|o| (&o.entry.report, Source::Own));
+    // At any reading this router's row may be its predecessor's, whose last write can take effect
+    // late. What that one reported would be gone with the next renewal.
+    let former = own.iter().map(|o| (&o.entry.report, Source::Own));
     // Also of routers that are long dead: what they saw still holds.
     let told = others.iter().map(|o| (&o.entry.report, Source::Other));
     crashes::take(gw, &former.chain(told).collect::<Vec<_>>(), page.now);
