--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -419,6 +419,7 @@
 
     fn choose(&self) -> Result<(Rc<Backend>, Planned), Unplaced> {
         let engine = self.is_engine();
+        let emptied = self.gw.zones.emptied();
         let req = PlaceRequest {
             service: &self.service,
             zone: &self.gw.settings.zone,
@@ -426,7 +427,11 @@
             prompt: self.facts.prompt,
             engine,
             tried: &self.tried,
-            reach: Reach::ANYWHERE,
+            reach: Reach {
+                emptied: &emptied,
+                homes: [&[], &[]],
+                regions: &self.gw.settings.regions,
+            },
         };
         let Found { candidates: found, barred } = self.gw.targets.candidates(&req);
         let facts: Vec<_> = found.iter().map(|(_, c)| *c).collect();
--- a/src/gateway/send.rs
+++ b/src/gateway/send.rs
@@ -52,6 +52,10 @@
                 }
             },
         };
+        if let Err(held_off) = self.admit_to(backend) {
+            link.put_back(&mut backend.pool.borrow_mut());
+            return Err(held_off);
+        }
         flight.leaves(&self.facts.parts);
         let target = backend.id();
         let add = Additions {
@@ -87,6 +91,19 @@
         }
     }
 
+    /// The last look before a request leaves: every send passes here, and what was known when its
+    /// target was chosen may be out of date since.
+    ///
+    /// # Errors
+    /// `HeldOff`.
+    fn admit_to(&self, backend: &Backend) -> Result<(), Ended> {
+        let zone = backend.info.borrow().zone.clone();
+        if self.gw.zones.is_emptied(&zone) {
+            return Err(Ended::HeldOff);
+        }
+        Ok(())
+    }
+
     /// Writes the request and reads the head of the answer to it.
     async fn answer(
         &self,
--- /dev/null
+++ b/tests/test_gateway_orders.rs
@@ -0,0 +1,262 @@
+//! Zones that the operator empties and takes back.
+
+use std::time::Duration;
+
+use kingcupwall::gateway::orders::{ZoneOrder, ZoneOrders};
+use kingcupwall::gateway::reach::{Barred, Reach, ZoneRegions};
+use kingcupwall::rows::{Fault, Ver};
+use kingcupwall::standin::gateway::{LocalPlatform, parts};
+use kingcupwall::standin::gateway_host::GatewayHost;
+use kingcupwall::standin::gateway_target::{StandinTarget, TargetFault};
+use rstest::rstest;
+use tokio::task::spawn_local;
+use tokio::time::{Instant, sleep};
+
+use crate::gatedir::{Call, eventually, local};
+
+fn order(zone: &str, ver: u64, emptied: bool) -> ZoneOrder {
+    ZoneOrder { zone: zone.into(), ver: Ver(ver), emptied }
+}
+
+#[rstest]
+#[case::first(&[], order("a", 5, true), true)]
+#[case::taken_back(&[order("a", 5, true)], order("a", 6, false), true)]
+#[case::told_again(&[order("a", 5, true)], order("a", 5, true), false)]
+#[case::told_late(&[order("a", 5, true), order("a", 6, false)], order("a", 5, true), false)]
+#[case::other_zone(&[order("a", 5, true)], order("b", 4, true), true)]
+#[case::never_emptied(&[], order("a", 5, false), false)]
+fn orders_take(#[case] before: &[ZoneOrder], #[case] next: ZoneOrder, #[case] changes: bool) {
+    let mut orders = ZoneOrders::default();
+    let now = Instant::now();
+    for o in before {
+        orders.take(o, now);
+    }
+    assert_eq!(orders.take(&next, now), changes);
+    assert_eq!(orders.is_emptied(&next.zone), next.emptied && (changes || before.len() < 2));
+}
+
+#[test]
+fn orders_unlisted_taken_back() {
+    // Guards against a zone that stays emptied for ever because the deletion of its row was
+    // compacted away.
+    let mut orders = ZoneOrders::default();
+    let now = Instant::now();
+    orders.take(&order("a", 5, true), now);
+    orders.take(&order("b", 6, true), now);
+    let gone = orders.unlisted(&["b".into()], Ver(9));
+    assert_eq!(gone, [order("a", 9, false)]);
+    assert!(orders.take(&gone[0], now));
+    assert_eq!(orders.emptied(), ["b"]);
+}
+
+#[rstest]
+#[case::nowhere_barred(&[], &[], &[], "a", None)]
+#[case::emptied(&["a"], &[], &[], "a", Some(Barred::Emptied))]
+#[case::other_emptied(&["b"], &[], &[], "a", None)]
+#[case::home(&[], &["south"], &[], "a", None)]
+#[case::abroad(&[], &["north"], &[], "a", Some(Barred::Abroad))]
+#[case::both_bind(&[], &["south", "north"], &["north"], "a", Some(Barred::Abroad))]
+#[case::abroad_and_emptied(&["a"], &["north"], &[], "a", Some(Barred::Abroad))]
+#[case::unknown_zone(&[], &["south"], &[], "z", Some(Barred::Abroad))]
+#[case::unknown_zone_unbound(&[], &[], &[], "z", None)]
+fn reach_bars(
+    #[case] emptied: &[&str],
+    #[case] route: &[&str],
+    #[case] org: &[&str],
+    #[case] zone: &str,
+    #[case] expected: Option<Barred>,
+) {
+    let own = |names: &[&str]| names.iter().map(|n| (*n).into()).collect::<Vec<_>>();
+    let regions = ZoneRegions::new(vec![
+        ("a".into(), "south".into()),
+        ("b".into(), "south".into()),
+        ("c".into(), "north".into()),
+    ]);
+    let (emptied, route, org) = (own(emptied), own(route), own(org));
+    let reach = Reach { emptied: &emptied, homes: [&route, &org], regions: &regions };
+    assert_eq!(reach.bars(zone), expected);
+}
+
+/// A target in each of two zones and one router or two.
+struct Fleet {
+    platform: LocalPlatform,
+    targets: Vec<StandinTarget>,
+    routers: Vec<GatewayHost>,
+}
+
+impl Fleet {
+    async fn start(routers: usize) -> Fleet {
+        let platform = LocalPlatform::new();
+        platform.configure(parts(1, 1_000_000));
+        let mut targets = Vec::new();
+        for n in 1..=2 {
+            let zone = format!("zone-{n}");
+            let target = StandinTarget::start(&format!("t{n}"), "model", &zone).await.unwrap();
+            platform.register(&target, "ready");
+            targets.push(target);
+        }
+        let mut fleet = Fleet { platform, targets, routers: Vec::new() };
+        for n in 1..=routers {
+            fleet.add_router(n, 1).await;
+        }
+        for r in &fleet.routers {
+            eventually("all targets are known", || r.gw.targets.count().0 == 2).await;
+            eventually("the others are known", || r.gw.peers.borrow().len() + 1 >= routers).await;
+        }
+        fleet
+    }
+
+    async fn add_router(&mut self, n: usize, incarnation: u64) {
+        let name = format!("r{n}");
+        let host = GatewayHost::start(&self.platform, &name, "zone-1", incarnation).await;
+        self.routers.push(host.unwrap());
+    }
+
+    /// Sends requests to a router and tells how many each target ran.
+    async fn send(&self, router: usize, name: &str) -> (usize, usize) {
+        let before = self.runs();
+        for n in 0..8 {
+            let call = Call::get("/safe/a").id(&format!("{name}{n}")).body(&format!("{name} {n}"));
+            assert_eq!(call.send(self.routers[router].front).await.status(), 200);
+        }
+        let after = self.runs();
+        (after.0 - before.0, after.1 - before.1)
+    }
+
+    fn runs(&self) -> (usize, usize) {
+        (self.targets[0].runs().len(), self.targets[1].runs().len())
+    }
+
+    async fn obeys(&self, router: usize, emptied: &[&str]) {
+        let zones = &self.routers[router].gw.zones;
+        eventually("the order is known", || zones.emptied() == emptied).await;
+    }
+}
+
+#[test]
+fn emptied_zone_gets_nothing_new() {
+    local(async {
+        let fleet = Fleet::start(1).await;
+        fleet.platform.empty_zone("zone-1");
+        fleet.obeys(0, &["zone-1"]).await;
+        assert_eq!(fleet.send(0, "emptied").await, (0, 8));
+        fleet.platform.take_zone_back("zone-1");
+        fleet.obeys(0, &[]).await;
+        assert!(fleet.send(0, "back").await.0 > 0);
+    });
+}
+
+#[test]
+fn emptied_zone_ends_what_it_runs() {
+    // Guards against answers that break off because their zone is emptied.
+    local(async {
+        let fleet = Fleet::start(1).await;
+        fleet.targets.iter().for_each(|t| t.set_event_gap(Duration::from_millis(100)));
+        let front = fleet.routers[0].front;
+        let stream =
+            spawn_local(async move { Call::get("/stream/a").tokens(10, 16).send(front).await });
+        eventually("it runs", || fleet.runs() == (1, 0)).await;
+        fleet.platform.empty_zone("zone-1");
+        fleet.obeys(0, &["zone-1"]).await;
+        let got = stream.await.unwrap();
+        assert!(got.whole);
+        assert_eq!(got.events(), (1..=8).collect::<Vec<_>>());
+    });
+}
+
+#[test]
+fn resumed_stream_leaves_emptied_zone() {
+    // Guards against a stream that is resumed, or a retry that is sent, in a zone that was emptied
+    // while its first target ran it.
+    local(async {
+        let fleet = Fleet::start(1).await;
+        for n in 0..10 {
+            let warm = Call::get("/resumable/warm").id(&format!("w{n}")).tokens(1, 2);
+            assert_eq!(warm.send(fleet.routers[0].front).await.status(), 200);
+        }
+        let third = StandinTarget::start("t3", "model", "zone-1").await.unwrap();
+        fleet.platform.register(&third, "ready");
+        eventually("it is known", || fleet.routers[0].gw.targets.count().0 == 3).await;
+        let before = fleet.runs();
+        for t in fleet.targets.iter().chain([&third]) {
+            t.set_event_gap(Duration::from_millis(60));
+            t.fail(&[TargetFault::CutsStream(6)]);
+        }
+        let front = fleet.routers[0].front;
+        let stream = spawn_local(async move {
+            Call::get("/resumable/a").id("s").tokens(10, 20).send(front).await
+        });
+        let runs = || fleet.runs().0 - before.0 + third.runs().len();
+        eventually("it runs in the zone", || runs() == 1).await;
+        fleet.platform.empty_zone("zone-1");
+        fleet.obeys(0, &["zone-1"]).await;
+        let got = stream.await.unwrap();
+        // The target in the other zone cuts it as well, at the same event: nothing new came.
+        assert!(!got.events().is_empty());
+        assert_eq!((runs(), fleet.runs().1 - before.1), (1, 1));
+    });
+}
+
+#[test]
+fn all_zones_emptied_refused() {
+    // Guards against a request that is held until its time is over though nothing can serve it.
+    local(async {
+        let fleet = Fleet::start(1).await;
+        fleet.platform.empty_zone("zone-1");
+        fleet.platform.empty_zone("zone-2");
+        fleet.obeys(0, &["zone-1", "zone-2"]).await;
+        let got = Call::get("/once/a").body("order").send(fleet.routers[0].front).await;
+        assert_eq!((got.status(), got.body.as_str()), (503, r#"{"error":"zones_emptied"}"#));
+        assert!(got.header("Retry-After").unwrap().parse::<f64>().unwrap() >= 1.0);
+        assert_eq!(fleet.runs(), (0, 0));
+    });
+}
+
+#[test]
+fn order_reaches_router_that_store_turns_away() {
+    // Guards against a router that goes on sending into an emptied zone because the store serves
+    // the others and not itself.
+    local(async {
+        let fleet = Fleet::start(2).await;
+        fleet.routers[1].platform.rows.set_fault(Fault::Reject(503));
+        sleep(Duration::from_millis(100)).await;
+        fleet.platform.empty_zone("zone-1");
+        fleet.obeys(1, &["zone-1"]).await;
+        assert_eq!(fleet.send(1, "told").await, (0, 8));
+        fleet.platform.take_zone_back("zone-1");
+        fleet.obeys(1, &[]).await;
+    });
+}
+
+#[test]
+fn order_in_lost_history() {
+    // Guards against an order, or the end of one, that is missed because the store has dropped the
+    // history in which it stood.
+    local(async {
+        let fleet = Fleet::start(1).await;
+        let rows = &fleet.routers[0].platform.rows;
+        for emptied in [true, false] {
+            rows.set_fault(Fault::Reject(503));
+            sleep(Duration::from_millis(100)).await;
+            match emptied {
+                true => fleet.platform.empty_zone("zone-1"),
+                false => fleet.platform.take_zone_back("zone-1"),
+            }
+            fleet.platform.rows.compact();
+            rows.set_fault(Fault::None);
+            fleet.obeys(0, if emptied { &["zone-1"] } else { &[] }).await;
+        }
+    });
+}
+
+#[test]
+fn router_starts_while_zone_is_emptied() {
+    // Guards against a router whose first requests go into an emptied zone.
+    local(async {
+        let mut fleet = Fleet::start(0).await;
+        fleet.platform.empty_zone("zone-1");
+        fleet.add_router(1, 1).await;
+        eventually("all targets are known", || fleet.routers[0].gw.targets.count().0 == 2).await;
+        assert_eq!(fleet.send(0, "started").await, (0, 8));
+    });
+}
