--- a/src/gateway/send.rs
+++ b/src/gateway/send.rs
@@ -6,6 +6,7 @@
 use bytes::{Bytes, BytesMut};
 use tokio::time::{Instant, timeout};
 
+use super::cold::Pace;
 use super::forward::{Job, Reply, Rest, StreamState};
 use super::outcome::Ended;
 use super::pool::{Link, dial};
@@ -52,7 +53,7 @@
                 }
             },
         };
-        if let Err(held_off) = self.admit_to(backend) {
+        if let Err(held_off) = self.admit_to(backend).await {
             link.put_back(&mut backend.pool.borrow_mut());
             return Err(held_off);
         }
@@ -96,8 +97,23 @@
     ///
     /// # Errors
     /// `HeldOff`.
-    fn admit_to(&self, backend: &Backend) -> Result<(), Ended> {
-        let zone = backend.info.borrow().zone.clone();
+    async fn admit_to(&self, backend: &Backend) -> Result<(), Ended> {
+        let (service, zone, id) = {
+            let info = backend.info.borrow();
+            (info.service.clone(), info.zone.clone(), info.id.clone())
+        };
+        if let Some(warm_up) = self.catalog.warm_up(&service) {
+            if backend.life.reached() {
+                backend.cool(warm_up.lasts);
+            }
+            if backend.is_cold(Instant::now()) {
+                let pace = Pace::of(warm_up, self.gw.settings.cold);
+                if let Err(room_in) = self.gw.cold.admit(&id, &zone, pace).await {
+                    backend.has_no_room(room_in);
+                    return Err(Ended::HeldOff);
+                }
+            }
+        }
         if self.gw.zones.is_emptied(&zone) {
             return Err(Ended::HeldOff);
         }
--- a/src/gateway/targets.rs
+++ b/src/gateway/targets.rs
@@ -509,7 +509,9 @@
         doubtful: b.lapsed.get() || load.doubtful_until.is_some_and(|t| t > now),
         full: load.full_until.is_some_and(|t| t > now),
         tried: req.tried.contains(&info.id),
-        room_in: None,
+        room_in: b.is_cold(now).then(|| {
+            b.no_room_until.get().map_or(Duration::ZERO, |t| t.saturating_duration_since(now))
+        }),
     }
 }
 
