--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -420,6 +420,7 @@
     fn choose(&self) -> Result<(Rc<Backend>, Planned), Unplaced> {
         let engine = self.is_engine();
         let emptied = self.gw.zones.emptied();
+        let org_homes = self.org.as_deref().map_or(&[][..], |o| self.catalog.homes_of(o));
         let req = PlaceRequest {
             service: &self.service,
             zone: &self.gw.settings.zone,
@@ -429,7 +430,7 @@
             tried: &self.tried,
             reach: Reach {
                 emptied: &emptied,
-                homes: [&[], &[]],
+                homes: [&self.route.homes, org_homes],
                 regions: &self.gw.settings.regions,
             },
         };
--- a/src/gateway/sync.rs
+++ b/src/gateway/sync.rs
@@ -5,7 +5,7 @@
 
 use tokio::time::{Instant, sleep};
 
-use super::catalog::Catalog;
+use super::catalog::{Catalog, Route};
 use super::feed::{Confirmation, Feed};
 use super::orders::ZoneOrder;
 use super::state::{Gateway, Platform};
@@ -53,6 +53,7 @@
     );
     gw.stats.config_version.set(i64::try_from(next.version).unwrap_or(i64::MAX));
     gw.keeper.set_prepaid(next.prepaid());
+    note_homeless(gw, &next);
     let host_homes = next.host_homes();
     *gw.catalog.borrow_mut() = Some(Rc::new(next));
     gw.entry.send_modify(|e| {
@@ -61,6 +62,19 @@
     });
 }
 
+/// Says which routes are bound to regions in which there is no zone: their requests are all
+/// refused.
+fn note_homeless<P: Platform>(gw: &Gateway<P>, catalog: &Catalog) {
+    let regions = &gw.settings.regions;
+    let homeless = |r: &&Route| !r.homes.is_empty() && !regions.has_any(&r.homes);
+    for r in catalog.routes().iter().filter(homeless) {
+        gw.log.note(
+            "config",
+            format_args!("route={} homes={:?} outcome=no_zone_in_homes", r.name, r.homes),
+        );
+    }
+}
+
 /// Makes sure that the configuration in force is the newest, so that a refusal which rests on it is
 /// right at this moment. Returns whether it is.
 ///
