Entry answers leave out a router soon after its end (DRAIN)

The directory may name a router that has ended for contact_ms and 3 s at most. Rows went stale after 6.5 s, 8.5 s with the pause between two readings, and for 6.5 s after a cut by the length of the cut later: more than the 6 s that deployments with contact_ms 3,000 allow.

Callers are sent to routers whose rows are younger than contact_ms and 0.5 s (two renewals), with the length of a cut on top only until living routers have renewed their rows after it (2.5 s). Lenders, hints and repeats go on counting by the longer limits: for them a router that is dropped too soon costs more.

--- a/src/gateway/members.rs
+++ b/src/gateway/members.rs
@@ -28,6 +28,9 @@
 
 /// Readings after which all living routers have renewed their rows.
 const FEW_READS: u32 = 3;
+/// How long a router takes to read the table and renew its row, at most, ms.
+const RENEWAL_MS: u64 = 500;
+
 /// A router's row.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 struct Entry {
@@ -158,6 +161,15 @@
         self.count <= FEW_READS
     }
 
+    /// The age from which on callers are not sent to a row's router: `limit`, and for a while more
+    /// after a time without answers.
+    pub fn unnamed_ms(&self, now: StoreMs, limit: Duration) -> u64 {
+        let limit = u64::try_from(limit.as_millis()).unwrap_or(u64::MAX);
+        let renewed = u64::try_from(BEAT.as_millis()).unwrap_or(u64::MAX) + RENEWAL_MS;
+        let gap = self.gap.filter(|(_, over)| now.0.saturating_sub(over.0) < renewed);
+        limit.saturating_add(gap.map_or(0, |(gap, _)| gap))
+    }
+
     /// The age at which a row counts as stale. While this router could not read, the others
     /// could perhaps not write. Without this allowance every router believes itself alone once a
     /// cut of all is over, names only itself to callers, and the callers spread over the whole
@@ -226,7 +238,9 @@
     // the store those of living routers are old as well, and each would own all targets.
     let all: Vec<&Other> = others.iter().collect();
     set_owners(gw, if reads.are_few() { &all } else { &live }, !own.is_empty());
-    let named: Vec<RouterEntry> = live.iter().map(|o| o.entry.as_router()).collect();
+    let unnamed_ms = reads.unnamed_ms(page.now, gw.settings.unnamed_after);
+    let named = live.iter().filter(|o| o.age_ms < unnamed_ms);
+    let named: Vec<RouterEntry> = named.map(|o| o.entry.as_router()).collect();
     publish(gw, &named);
 }
 
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -65,6 +65,8 @@
     pub regions: ZoneRegions,
     /// What a cold target may get in one second.
     pub cold: ColdBound,
+    /// Age of a router's row from which on callers are not sent there.
+    pub unnamed_after: Duration,
     /// Where callers connect.
     pub front: SocketAddr,
     /// Where other routers send their hints.
