--- a/tests/test_gateway_decisions.rs
+++ b/tests/test_gateway_decisions.rs
@@ -240,6 +240,23 @@
     assert_eq!(answer, ["127.0.0.3", "127.0.0.1", "127.0.0.2"]);
 }
 
+#[test]
+fn reads_unnamed_soon_after_end() {
+    // Guards against callers that are sent to routers which ended in a cut, seconds after it.
+    const LIMIT: Duration = Duration::from_millis(3_500);
+    let mut reads = Reads::default();
+    for ms in [1_000, 3_000, 5_000, 13_400] {
+        reads.note(StoreMs(ms));
+    }
+    // Living routers could not renew their rows: they are named until they have had the time.
+    assert!(reads.unnamed_ms(StoreMs(13_400), LIMIT) > 13_400 - 4_900);
+    assert!(reads.unnamed_ms(StoreMs(15_400), LIMIT) > 15_400 - 4_900);
+    reads.note(StoreMs(15_400));
+    reads.note(StoreMs(17_400));
+    assert_eq!(reads.unnamed_ms(StoreMs(16_000), LIMIT), 3_500);
+    assert!(reads.stale_ms(StoreMs(16_000)) > 6_500);
+}
+
 /// All routers are cut from the store for eight seconds. Their rows are older than that when the
 /// first of them reads the table again, because none could be renewed. A router that took the
 /// others for gone would name only itself to callers, and each of sixty routers would do so.
