Cold targets: a model of any schedule with planted mistakes, and experiment cold-start

cold_bound_any_schedule plays 400 random schedules (lists, deaths, restarts, lost and late datagrams) of the real decisions with at most two lists in force: at most 20 in any second, 21 allowed. Four planted mistakes are each found: an owner that uses the whole bound, no settling, late use of an admission, anyone who is asked admits.

The admitter of a process moved from the actor into the pure file, so that the model plays it.

--- a/src/cmd/experiment.rs
+++ b/src/cmd/experiment.rs
@@ -1,13 +1,15 @@
 //! `kingcupwall experiment`: measures the project's decisions.
 
+use std::path::PathBuf;
+
 use bpaf::Bpaf;
 use serde::Serialize;
 
 use crate::error::Result;
-use crate::experiment::{budget, capacity, overhead, quarantine};
+use crate::experiment::{budget, capacity, cold_start, overhead, quarantine};
 
-/// Measure decisions: budget in virtual time over in-memory fakes, quarantine in a
-/// model, the others in real time
+/// Measure decisions: budget in virtual time over in-memory fakes, cold-start and
+/// quarantine in a model, the others in real time
 ///
 /// Example: kingcupwall experiment budget --json
 #[derive(Clone, Debug, Bpaf)]
@@ -22,9 +24,12 @@
     /// Only cells whose policy/workload contains this
     #[bpaf(argument("TEXT"), fallback(String::new()))]
     only: String,
+    /// Write a plot to this file, as SVG (cold-start)
+    #[bpaf(argument("FILE"))]
+    plot: Option<PathBuf>,
     /// Print one JSON object a cell
     json: bool,
-    /// Which: budget, capacity, overhead, quarantine
+    /// Which: budget, capacity, cold-start, overhead, quarantine
     #[bpaf(positional("NAME"))]
     name: Name,
 }
@@ -33,6 +38,7 @@
 enum Name {
     Budget,
     Capacity,
+    ColdStart,
     Overhead,
     Quarantine,
 }
@@ -44,10 +50,11 @@
         match s {
             "budget" => Ok(Name::Budget),
             "capacity" => Ok(Name::Capacity),
+            "cold-start" => Ok(Name::ColdStart),
             "overhead" => Ok(Name::Overhead),
             "quarantine" => Ok(Name::Quarantine),
             other => Err(format!(
-                "no experiment {other:?}; there are: budget, capacity, overhead, quarantine"
+                "no experiment {other:?}; there are: budget, capacity, cold-start, overhead, quarantine"
             )),
         }
     }
@@ -77,6 +84,14 @@
             virtual_time(budget::run(args.requests, args.seed, &args.only, show)).map(drop)
         }
         Name::Capacity => super::block_on(capacity::run(|p| args.show(p))),
+        Name::ColdStart => {
+            let mut cells = Vec::new();
+            cold_start::run(args.seed, &args.only, |c| {
+                args.show(c);
+                cells.push(*c);
+            });
+            args.plot.as_ref().map_or(Ok(()), |file| cold_start::plot(&cells, file))
+        }
         Name::Overhead => super::block_on(async {
             args.show(&overhead::run(args.requests).await?);
             Ok(())
--- a/src/experiment/mod.rs
+++ b/src/experiment/mod.rs
@@ -2,5 +2,7 @@
 
 pub mod budget;
 pub mod capacity;
+pub mod cold_start;
 pub mod overhead;
+mod plot;
 pub mod quarantine;
--- /dev/null
+++ b/src/experiment/plot.rs
@@ -0,0 +1,65 @@
+//! Plots of experiments as SVG: one line for each series over the size of the fleet.
+
+use std::path::Path;
+
+use plotters::prelude::*;
+
+use crate::error::{Error, Kind, Result};
+
+/// Size of a plot, pixels.
+const SIZE: (u32, u32) = (900, 500);
+
+/// One series: its name and its points, in the order of x.
+#[derive(Clone, Debug)]
+pub struct Series {
+    /// What it is called.
+    pub name: String,
+    /// Points: size of the fleet, and the figure.
+    pub points: Vec<(f64, f64)>,
+}
+
+/// Writes a plot of `series` with a horizontal line at `limit`.
+///
+/// # Errors
+/// `Io` if the file cannot be written.
+pub fn write(file: &Path, title: &str, series: &[Series], limit: Option<f64>) -> Result<()> {
+    draw(file, title, series, limit)
+        .map_err(|e| Error::new(Kind::Io, format!("{}: {e}", file.display())))
+}
+
+fn draw(
+    file: &Path,
+    title: &str,
+    series: &[Series],
+    limit: Option<f64>,
+) -> std::result::Result<(), Box<dyn std::error::Error>> {
+    let points = || series.iter().flat_map(|s| &s.points);
+    let most_x = points().map(|p| p.0).fold(1.0, f64::max);
+    let most_y = points().map(|p| p.1).chain(limit).fold(1.0, f64::max) * 1.1;
+    let root = SVGBackend::new(file, SIZE).into_drawing_area();
+    root.fill(&WHITE)?;
+    let mut chart = ChartBuilder::on(&root)
+        .caption(title, ("sans-serif", 20))
+        .margin(16)
+        .x_label_area_size(40)
+        .y_label_area_size(60)
+        .build_cartesian_2d(0.0..most_x, 0.0..most_y)?;
+    chart.configure_mesh().x_desc("routers").draw()?;
+    for (i, s) in series.iter().enumerate() {
+        let color = Palette99::pick(i).to_rgba();
+        chart
+            .draw_series(LineSeries::new(s.points.iter().copied(), &color))?
+            .label(&s.name)
+            .legend(move |(x, y)| PathElement::new([(x, y), (x + 20, y)], color));
+    }
+    if let Some(limit) = limit {
+        let ends = [(0.0, limit), (most_x, limit)];
+        chart
+            .draw_series(LineSeries::new(ends, &BLACK))?
+            .label("bound")
+            .legend(|(x, y)| PathElement::new([(x, y), (x + 20, y)], BLACK));
+    }
+    chart.configure_series_labels().background_style(WHITE).border_style(BLACK).draw()?;
+    root.present()?;
+    Ok(())
+}
--- a/src/gateway/cold.rs
+++ b/src/gateway/cold.rs
@@ -100,6 +100,43 @@
     }
 }
 
+/// How long a process does not admit after its start: its predecessor may have, a moment ago.
+pub const SETTLE: Duration = Duration::from_millis(1_100);
+/// Meters of targets that had no request for so long are dropped.
+const METER_LIFE: Duration = Duration::from_secs(10);
+
+/// What one process admits to the targets that it owns.
+#[derive(Debug)]
+pub struct Admitter {
+    settled: Instant,
+    /// By digest of the target's id.
+    meters: Vec<(u64, Meter)>,
+}
+
+impl Admitter {
+    /// For a process that started then.
+    pub fn new(started: Instant) -> Admitter {
+        Admitter { settled: started + SETTLE, meters: Vec::new() }
+    }
+
+    /// Admits a request to a target.
+    ///
+    /// # Errors
+    /// The time until there is room.
+    pub fn admit(&mut self, target: u64, now: Instant, pace: Pace) -> Result<(), Duration> {
+        if now < self.settled {
+            return Err(self.settled - now);
+        }
+        let i = self.meters.binary_search_by_key(&target, |(t, _)| *t).unwrap_or_else(|i| {
+            self.meters.insert(i, (target, Meter::default()));
+            i
+        });
+        let outcome = self.meters[i].1.admit(now, pace);
+        self.meters.retain(|(_, m)| !m.is_idle(now, pace.window.max(METER_LIFE)));
+        outcome
+    }
+}
+
 /// A router that may own targets.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Owner {
--- a/src/gateway/warmup.rs
+++ b/src/gateway/warmup.rs
@@ -12,20 +12,16 @@
 use tokio::sync::oneshot;
 use tokio::time::{Instant, timeout};
 
-use super::cold::{ADMISSION_LIFE, Meter, Owner, Pace, owner};
+use super::cold::{ADMISSION_LIFE, Admitter, Owner, Pace, owner};
 use super::datagram::Topic;
 use super::targets::target_word;
 use crate::oplog::Log;
 use crate::stats::{Reason, Stats};
 
-/// How long a process does not admit after its start: its predecessor may have, a moment ago.
-const SETTLE: Duration = Duration::from_millis(1_100);
 /// How long a target is left alone whose owner does not answer, or is not known.
 const OWNER_SILENT: Duration = Duration::from_millis(200);
 /// How long it is left alone when an admission came too late to be used.
 const TOO_LATE: Duration = Duration::from_millis(20);
-/// Meters of targets that had no request for so long are dropped.
-const METER_LIFE: Duration = Duration::from_secs(10);
 
 /// A word between a router that has a request and the owner of a cold target.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, Deserialize, Serialize)]
@@ -52,10 +48,8 @@
     me: CompactString,
     log: Log,
     stats: Stats,
-    started: Instant,
     owners: RefCell<Vec<Owner>>,
-    /// By digest of the target's id.
-    meters: RefCell<Vec<(u64, Meter)>>,
+    own: RefCell<Admitter>,
     asked: RefCell<Vec<(u64, oneshot::Sender<Option<Duration>>)>>,
     next_number: Cell<u64>,
     socket: OnceCell<Rc<UdpSocket>>,
@@ -68,9 +62,8 @@
             me,
             log,
             stats,
-            started: Instant::now(),
             owners: RefCell::default(),
-            meters: RefCell::default(),
+            own: RefCell::new(Admitter::new(Instant::now())),
             asked: RefCell::default(),
             next_number: Cell::new(fastrand::u64(..)),
             socket: OnceCell::new(),
@@ -111,19 +104,7 @@
     }
 
     fn admit_own(&self, word: u64, pace: Pace) -> Result<(), Duration> {
-        let now = Instant::now();
-        let settled = self.started + SETTLE;
-        if now < settled {
-            return Err(settled - now);
-        }
-        let mut meters = self.meters.borrow_mut();
-        let i = meters.binary_search_by_key(&word, |(w, _)| *w).unwrap_or_else(|i| {
-            meters.insert(i, (word, Meter::default()));
-            i
-        });
-        let outcome = meters[i].1.admit(now, pace);
-        meters.retain(|(_, m)| !m.is_idle(now, pace.window.max(METER_LIFE)));
-        outcome
+        self.own.borrow_mut().admit(word, Instant::now(), pace)
     }
 
     async fn ask(&self, owner: SocketAddr, target: u64) -> Result<(), Duration> {
--- a/tests/tests.rs
+++ b/tests/tests.rs
@@ -19,6 +19,7 @@
 mod test_fleet;
 mod test_gateway;
 mod test_gateway_cold;
+mod test_gateway_cold_model;
 mod test_gateway_config;
 mod test_gateway_decisions;
 mod test_gateway_fatal;
