Soak: zones that are emptied and taken back, cold targets, a route bound to one region

Checked: nothing reaches an emptied zone 5 s after the order (routers are paused for up to 3 s with requests in hand), no cold target gets over 1.5 times its rate and 5 in any second, whatever else fails, and bound requests stay in their region.

--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -10,3 +10,4 @@
 pub mod routers;
 pub mod run;
 pub mod store;
+pub mod zones;
--- a/soak/src/routers.rs
+++ b/soak/src/routers.rs
@@ -7,6 +7,7 @@
 use std::process::{ExitStatus, Stdio};
 use std::time::Duration;
 
+use crate::zones::REGIONS;
 use compact_str::{CompactString, format_compact};
 use eyre::{Result, WrapErr};
 use kingcupwall::http1::Conn;
@@ -61,7 +62,8 @@
             "node: {name}\nrole: router\nip: {ip}\nzone: {zone}\nlisten:\n  front: {ip}:{FRONT}\n  \
              ready: {ip}:{READY}\n  directory: {ip}:{DIRECTORY}\ninternal_ports: [7340, 7355]\n\
              limits: {{ memory_mb: 110, max_fds: 4100, cpu_share: 0.25, link_mbps: 1000 }}\n\
-             bounds: {{ grace_s: {GRACE_S}, retry_budget_ratio: 0.2, retry_slack: 52, contact_ms: 3000 }}\n\
+             bounds: {{ grace_s: {GRACE_S}, retry_budget_ratio: 0.2, retry_slack: 52, contact_ms: 3000,\n  \
+             cold_over: 1.5, cold_slack: 5 }}\nzones: {REGIONS}\n\
              platform: {{ address: \"{store}\" }}\n"
         );
         std::fs::write(&settings, text).wrap_err("settings file")?;
--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -27,6 +27,7 @@
 use crate::proxy::{Mode, Proxy};
 use crate::routers::{GRACE_S, Router};
 use crate::store;
+use crate::zones;
 
 /// Targets of the only service.
 const TARGETS: usize = 4;
@@ -133,11 +134,18 @@
     }
     let each = setup.faults_for / FATAL_KINDS;
     spawn_local(fatal::send_on(world.callers.clone(), FATAL_KINDS, each, setup.seed));
+    spawn_local(zones::send_bound(world.callers.clone(), setup.seed));
+    let (until, all) = (Instant::now() + setup.faults_for, world.clone());
+    let targets = move || all.targets.borrow().iter().map(|(t, _)| t.clone()).collect();
+    let emptied =
+        spawn_local(zones::empty_in_turn(world.store.clone(), targets, until, setup.seed));
     let faults = world.break_for(setup).await;
+    let emptied = emptied.await?;
     sleep(SETTLE).await;
     let before = world.runs();
     world.check_calm().await;
     fatal::check(&before, &world.runs()).into_iter().for_each(|v| world.note(v));
+    zones::check(&world.all_targets(), &emptied).into_iter().for_each(|v| world.note(v));
     world.callers.over.set(true);
     for router in &world.routers {
         let mut router = router.lock().await;
@@ -238,14 +246,17 @@
                 "resumable": a == Asked::Resumable})
         };
         let used = Asked::ALL.into_iter().map(|a| route(a, a.prefix()));
+        let mut bound = route(Asked::Safe, zones::BOUND_PREFIX);
+        bound["allowed_regions"] = json!([zones::HOME]);
         let unused =
             (0..self.more_routes.get()).map(|n| route(Asked::Safe, &format!("/more-{n}/")));
         let prepaid = self.prepaid.borrow();
         let organisation = |(n, prepaid): (usize, &u64)| json!({"name": format!("org-{n}"), "api_keys": [format!("key-{n}")], "prepaid": prepaid});
         let config = json!({
             "version": self.version.get(),
-            "routes": used.chain(unused).collect::<Vec<_>>(),
+            "routes": used.chain([bound]).chain(unused).collect::<Vec<_>>(),
             "services": [{"name": "model", "max_connections": 300,
+                "warmup_s": zones::WARM_UP_S, "warmup_per_s": zones::WARM_UP_PER_S,
                 "engine": {"slots": 64, "kv_capacity": 200_000, "stride": TOKENS_PER_EVENT}}],
             "tenants": prepaid.iter().enumerate().map(organisation).collect::<Vec<_>>(),
         });
@@ -259,8 +270,14 @@
         let target = StandinTarget::start_named(&id, "model", &zone, headers).await?;
         target.set_event_gap(EVENT_GAP);
         let link = Proxy::start(&format!("{}.252", self.ip), target.addr, None).await?;
+        // The first targets were there before the routers.
+        let is_cold = self.replaced.get() > 0;
+        if is_cold {
+            zones::warm_up(&target);
+        }
+        let warm_up_ms = if is_cold { zones::WARM_UP_S * 1_000.0 } else { 0.0 };
         let row = json!({"service": "model", "address": link.addr, "zone": zone, "slots": 64,
-            "version": "v1", "state": "ready", "warmup_left_ms": 0, "sequence": 1});
+            "version": "v1", "state": "ready", "warmup_left_ms": warm_up_ms, "sequence": 1});
         self.store.put(names::TARGETS, &id, row.to_string().as_bytes());
         spawn_local(self.clone().start_again_after_end(n, target.clone(), link.clone()));
         let mut targets = self.targets.borrow_mut();
@@ -464,9 +481,13 @@
 
     /// All runs at all targets so far.
     fn runs(&self) -> Vec<Seen> {
+        self.all_targets().iter().flat_map(StandinTarget::runs).collect()
+    }
+
+    /// All targets, also those that have left.
+    fn all_targets(&self) -> Vec<StandinTarget> {
         let (targets, gone) = (self.targets.borrow(), self.gone.borrow());
-        let all = targets.iter().map(|(t, _)| t).chain(gone.iter());
-        all.flat_map(StandinTarget::runs).collect()
+        targets.iter().map(|(t, _)| t).chain(gone.iter()).cloned().collect()
     }
 
     fn report(&self, seed: u64, faults: usize, logs: PathBuf) -> Report {
--- /dev/null
+++ b/soak/src/zones.rs
@@ -0,0 +1,138 @@
+//! Zones that are emptied and taken back, and requests that are bound to one region, while faults
+//! go on.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use fastrand::Rng;
+use kingcupwall::rows::MemoryRows;
+use kingcupwall::standin::gateway_target::StandinTarget;
+use kingcupwall_platform::names;
+use tokio::time::{Instant, sleep, timeout};
+
+use crate::callers::{Callers, HOST, TIME_LEFT, connect};
+
+/// The region of each zone, as settings write it.
+pub const REGIONS: &str = "{ zone-0: south, zone-1: north }";
+/// The prefix of the route whose requests stay in the region of the first zone.
+pub const BOUND_PREFIX: &str = "/bound/";
+/// The region that they stay in.
+pub const HOME: &str = "south";
+/// How targets warm up: how long, s, and requests a second.
+pub const WARM_UP_S: f64 = 1.5;
+/// See [`WARM_UP_S`].
+pub const WARM_UP_PER_S: f64 = 8.0;
+/// Requests in one second at a cold target: 1.5 times the rate, and 5.
+pub const MOST_WHILE_COLD: usize = 17;
+/// Pauses before an order and before it is taken back, ms.
+const PAUSE_MS: std::ops::Range<u64> = 1_000..4_000;
+const LASTS_MS: std::ops::Range<u64> = 6_000..9_000;
+/// Time after an order in which requests may still arrive: routers are paused for up to 3 s, and
+/// have requests in hand then.
+const IN_FORCE: Duration = Duration::from_secs(5);
+/// Pause between two bound requests.
+const BOUND_PAUSE: Duration = Duration::from_millis(80);
+
+/// A time in which a zone was emptied.
+#[derive(Clone, Debug)]
+pub struct Emptied {
+    /// The zone.
+    pub zone: &'static str,
+    /// When it was ordered.
+    pub from: Instant,
+    /// When it was taken back.
+    pub to: Instant,
+}
+
+/// Empties one zone after the other and takes it back, until `until`. Targets of a zone are cold
+/// for a while once it is back. Returns when each was emptied.
+pub async fn empty_in_turn(
+    store: MemoryRows,
+    targets: impl Fn() -> Vec<StandinTarget>,
+    until: Instant,
+    seed: u64,
+) -> Vec<Emptied> {
+    let mut rng = Rng::with_seed(seed);
+    let mut times = Vec::new();
+    loop {
+        let pause = Duration::from_millis(rng.u64(PAUSE_MS));
+        let lasts = Duration::from_millis(rng.u64(LASTS_MS));
+        let zone = if rng.bool() { "zone-0" } else { "zone-1" };
+        if Instant::now() + pause + lasts > until {
+            return times;
+        }
+        sleep(pause).await;
+        let key = format!("{}{zone}", names::EMPTIED);
+        store.put(names::CONFIG.0, &key, b"{}");
+        let from = Instant::now();
+        sleep(lasts).await;
+        targets().iter().filter(|t| t.zone == zone).for_each(warm_up);
+        store.remove(names::CONFIG.0, &key);
+        times.push(Emptied { zone, from, to: Instant::now() });
+    }
+}
+
+/// Counts what a target gets while it is cold.
+pub fn warm_up(target: &StandinTarget) {
+    target.set_cold(Some(usize::MAX));
+    let target = target.clone();
+    tokio::task::spawn_local(async move {
+        sleep(Duration::from_secs_f64(WARM_UP_S)).await;
+        target.set_cold(None);
+    });
+}
+
+/// Sends requests that are bound to one region, until all is over.
+pub async fn send_bound(callers: Rc<Callers>, seed: u64) {
+    let mut rng = Rng::with_seed(seed);
+    let names = names::headers();
+    let mut sent = 0_u32;
+    while !callers.over.get() {
+        if let Some(mut conn) = connect(&callers, &mut rng, sent).await {
+            let bytes = format!(
+                "GET {BOUND_PREFIX}{sent} HTTP/1.1\r\nHost: {HOST}\r\n{}: bound-{sent}\r\n{}: {}\r\n\
+                 Authorization: Bearer {}\r\n\r\n",
+                names.request_id,
+                names.time_left,
+                TIME_LEFT.as_millis(),
+                callers.keys[callers.keys.len() - 1],
+            );
+            sent += 1;
+            // What becomes of it is seen at the targets.
+            let _ = timeout(TIME_LEFT, async {
+                conn.write(bytes.as_bytes()).await?;
+                conn.has_more().await
+            })
+            .await;
+        }
+        sleep(BOUND_PAUSE).await;
+    }
+}
+
+/// What is wrong with what targets got.
+pub fn check(targets: &[StandinTarget], emptied: &[Emptied]) -> Vec<String> {
+    targets.iter().flat_map(|t| check_target(t, emptied)).collect()
+}
+
+fn check_target(target: &StandinTarget, emptied: &[Emptied]) -> Vec<String> {
+    let mut found = Vec::new();
+    let most = target.most_while_cold();
+    if most > MOST_WHILE_COLD {
+        found.push(format!("{}: {most} requests in one second while cold", target.id));
+    }
+    let runs = target.runs();
+    let abroad = |path: &str| path.starts_with(BOUND_PREFIX) && target.zone != "zone-0";
+    found.extend(
+        runs.iter()
+            .filter(|r| abroad(&r.target))
+            .map(|r| format!("{}: ran {} outside its region", target.id, r.id)),
+    );
+    for e in emptied.iter().filter(|e| target.zone == e.zone) {
+        let late = runs.iter().filter(|r| r.at > e.from + IN_FORCE && r.at < e.to);
+        found.extend(late.map(|r| {
+            let ms = (r.at - e.from).as_millis();
+            format!("{}: {} reached it {ms} ms after its zone was emptied", target.id, r.id)
+        }));
+    }
+    found
+}
--- a/soak/tests/tests.rs
+++ b/soak/tests/tests.rs
@@ -10,6 +10,7 @@
 use kingcupwall_soak::faults::{Parts, next};
 use kingcupwall_soak::run::{Setup, run};
 use tokio::task::LocalSet;
+use tokio::time::Instant;
 
 fn exchange(asked: Asked, status: u16, body: &str) -> Exchange {
     Exchange {
@@ -26,7 +27,13 @@
 
 fn ran(id: &str) -> Seen {
     let headers: Vec<Header> = Vec::new();
-    Seen { id: id.into(), target: "/x".into(), headers, body: Vec::new().into() }
+    Seen {
+        id: id.into(),
+        target: "/x".into(),
+        headers,
+        body: Vec::new().into(),
+        at: Instant::now(),
+    }
 }
 
 fn event(n: u64) -> String {
--- a/src/standin/gateway_target.rs
+++ b/src/standin/gateway_target.rs
@@ -61,6 +61,8 @@
     pub headers: Vec<Header>,
     /// Its body.
     pub body: Bytes,
+    /// When it arrived.
+    pub at: Instant,
 }
 
 /// What a cold target bears.
@@ -264,6 +266,7 @@
             target: head.target.clone(),
             headers: head.headers.clone(),
             body,
+            at: Instant::now(),
         };
         let is_fatal = seen.body == FATAL_BODY;
         self.shared.borrow_mut().runs.push(seen);
