Weights of placement by argument; refusals name route and organisation; cold targets in the log

--weight NAME=VALUE sets one weight of a router, so that ways of placing can be played beside each other without a build. A target's line says how long it stays cold.

--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -67,6 +67,17 @@
     }
 }
 
+/// A request that was not admitted, and as much of it as was known by then.
+#[derive(Clone, Debug)]
+pub struct Unadmitted {
+    /// The answer.
+    pub own: Own,
+    /// Name of its route.
+    pub route: Option<CompactString>,
+    /// Whose it is.
+    pub org: Option<CompactString>,
+}
+
 /// Why a request has no target.
 enum Unplaced {
     /// It is refused.
@@ -218,12 +229,16 @@
         body: Bytes,
         facts: Facts,
         started: Instant,
-    ) -> Result<Job<'a, P>, Own> {
-        let (catalog, route, org) = resolve(gw, head, &facts).await?;
+    ) -> Result<Job<'a, P>, Unadmitted> {
+        let unknown = |own| Unadmitted { own, route: None, org: None };
+        let (catalog, route, org) = resolve(gw, head, &facts).await.map_err(unknown)?;
+        let known = (route.name.clone(), org.clone());
+        let refused = |own| Unadmitted { own, route: Some(known.0.clone()), org: known.1.clone() };
         let wait = facts.time_left.map_or(route.timeout, |t| t.min(route.timeout));
         let until = started + wait;
         let draw = fastrand::f64();
-        let service = route.service(draw).cloned().ok_or(Own::refusal("no_service", COME_BACK))?;
+        let service = route.service(draw).cloned();
+        let service = service.ok_or_else(|| refused(Own::refusal("no_service", COME_BACK)))?;
         gw.retries.borrow_mut().earn(&service);
         let mut job = Job {
             gw,
@@ -245,8 +260,8 @@
             fingerprint: OnceCell::new(),
         };
         // First, so that it takes no part of the budget and waits for none.
-        job.check_quarantine()?;
-        job.take_budget().await?;
+        job.check_quarantine().map_err(&refused)?;
+        job.take_budget().await.map_err(&refused)?;
         Ok(job)
     }
 
--- a/src/gateway/front.rs
+++ b/src/gateway/front.rs
@@ -8,7 +8,7 @@
 use tokio::sync::watch;
 use tokio::time::{Instant, timeout};
 
-use super::forward::{Job, Own, label};
+use super::forward::{Job, Own, Unadmitted, label};
 use super::relay::{Relayed, relay, write_own};
 use super::request::Facts;
 use super::state::{Gateway, Phase, Platform};
@@ -201,9 +201,9 @@
     };
     let mut job = match admitted {
         Ok(job) => job,
-        Err(own) => {
-            ended(&gw.stats, "unplaced", own.reason);
-            return refuse(gw, conn, head, &id, "-", &own, started).await;
+        Err(unadmitted) => {
+            ended(&gw.stats, "unplaced", unadmitted.own.reason);
+            return refuse(gw, conn, head, &id, &unadmitted, started).await;
         }
     };
     let kind = label(job.route.kind);
@@ -226,8 +226,8 @@
         }
         Err(own) => {
             ended(&gw.stats, kind, own.reason);
-            let route = job.route.name.clone();
-            refuse(gw, conn, head, &id, &route, &own, started).await
+            let (route, org) = (Some(job.route.name.clone()), job.org.clone());
+            refuse(gw, conn, head, &id, &Unadmitted { own, route, org }, started).await
         }
     }
 }
@@ -244,17 +244,18 @@
     conn: &mut Conn,
     head: &RequestHead,
     id: &str,
-    route: &str,
-    own: &Own,
+    refused: &Unadmitted,
     started: Instant,
 ) -> bool {
+    let Unadmitted { own, route, org } = refused;
+    let (route, org) = (route.as_deref().unwrap_or("-"), org.as_deref().unwrap_or("-"));
     let keep = head.keep && *gw.phase.borrow() == Phase::Up;
     let ms = started.elapsed().as_millis();
     let after = own.retry_after.map(|d| d.as_millis());
     gw.log.note(
         "refused",
         format_args!(
-            "id={id} route={route} status={} reason={} retry_after_ms={after:?} at_ms={ms}",
+            "id={id} route={route} org={org} status={} reason={} retry_after_ms={after:?} at_ms={ms}",
             own.status, own.reason
         ),
     );
--- a/src/gateway/place.rs
+++ b/src/gateway/place.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use crate::error::{Error, Kind, Result};
+
 /// What a choice rests on for one target.
 #[derive(Clone, Copy, Debug)]
 pub struct Candidate {
@@ -71,6 +73,35 @@
     }
 }
 
+impl Weights {
+    /// Sets one weight by its name.
+    ///
+    /// # Errors
+    /// `BadConfig` for an unknown name, or a value that is no weight.
+    pub fn set(&mut self, name: &str, value: f64) -> Result<()> {
+        if !value.is_finite() || value < 0.0 {
+            return Err(Error::new(Kind::BadConfig, format!("weight {name} = {value}")));
+        }
+        let weight = match name {
+            "far_ms" => &mut self.far_ms,
+            "prefill" => &mut self.prefill,
+            "running_ms" => &mut self.running_ms,
+            "rank_ms" => &mut self.rank_ms,
+            "late_x" => &mut self.late_x,
+            _ => {
+                return Err(Error::new(
+                    Kind::BadConfig,
+                    format!(
+                        "no weight {name:?}; there are: far_ms, prefill, running_ms, rank_ms, late_x"
+                    ),
+                ));
+            }
+        };
+        *weight = value;
+        Ok(())
+    }
+}
+
 /// A decision.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Placement {
--- a/src/gateway/send.rs
+++ b/src/gateway/send.rs
@@ -105,6 +105,10 @@
         if let Some(warm_up) = self.catalog.warm_up(&service) {
             if backend.life.reached() {
                 backend.cool(warm_up.lasts);
+                let ms = warm_up.lasts.as_millis();
+                self.gw
+                    .log
+                    .note("target", format_args!("target={id} cold_ms={ms} cause=reached_again"));
             }
             if backend.is_cold(Instant::now()) {
                 let pace = Pace::of(warm_up, self.gw.settings.cold);
--- a/src/gateway/sync.rs
+++ b/src/gateway/sync.rs
@@ -160,8 +160,12 @@
     match gw.platform.target(&row.at.key, value) {
         Ok(info) => {
             let line = format!(
-                "target={} service={} state={:?} zone={}",
-                info.id, info.service, info.state, info.zone
+                "target={} service={} state={:?} zone={} cold_ms={}",
+                info.id,
+                info.service,
+                info.state,
+                info.zone,
+                info.warm_up.as_millis()
             );
             match gw.targets.set(info) {
                 Change::Same => (),
