Entry answers name small routers only for what large ones cannot carry

Cause: callers spread evenly over the routers named. The answer counted each router's capacity as if they spread by it, so that one small router named beside two large ones got as much as each of them, several times what its link carries.

Small routers are named now only once the large ones would be at twice their stated capacity (two fifths busy), and then so many that an even share suits them. Ruled out on the way: a router that names only itself before it has read the table (no difference), all large ones always (none).

--- a/src/gateway/entry.rs
+++ b/src/gateway/entry.rs
@@ -10,6 +10,11 @@
 /// Room that is left at the routers named, against the rate of the last moments: callers come in
 /// clumps, and an answer is kept for a while.
 const ROOM: f64 = 1.3;
+/// Routers with at least this part of the largest one's capacity count as large, too.
+const LARGE: f64 = 0.5;
+/// How far beyond their stated capacity, which is a fifth of what they bear, large routers are used
+/// before small ones are named.
+const OVER_CAPACITY: f64 = 2.0;
 /// Addresses in one answer, at most.
 const MAX_ADDRESSES: usize = 64;
 
@@ -41,8 +46,8 @@
 
 impl EntryView {
     /// The routers that callers of `zone` should use: those of the zone, which costs no traffic
-    /// between zones, and of them only as many as carry the zone's requests, the largest first.
-    /// Each router that takes an organisation's requests holds a part of its budget, so fewer
+    /// between zones, and of them only as many as carry the zone's requests, see [`how_many`]. Each
+    /// router that takes an organisation's requests holds a part of its budget, so fewer
     /// routers strand less of it, and leave less in doubt when they die. If the zone has none, the
     /// routers of its region; if that has none, those of the regions that the host is bound to;
     /// all routers at last.
@@ -52,15 +57,9 @@
         let mut staying: Vec<_> = of_zone().filter(|r| !r.leaving).collect();
         // All routers answer alike: those of one size in the order of their addresses.
         staying.sort_by_key(|r| (Reverse(r.capacity), r.front));
-        let mut room = 0.0;
-        let mut near = Vec::new();
-        for r in staying {
-            if !near.is_empty() && room >= rate * ROOM {
-                break;
-            }
-            room += f64::from(r.capacity);
-            near.push(r.front);
-        }
+        let capacities: Vec<f64> = staying.iter().map(|r| f64::from(r.capacity)).collect();
+        let n = how_many(&capacities, rate);
+        let mut near: Vec<SocketAddr> = staying[..n].iter().map(|r| r.front).collect();
         let own = regions.region(zone).map(std::slice::from_ref).unwrap_or_default();
         for within in [own, self.homes(host)] {
             if near.is_empty() {
@@ -83,3 +82,28 @@
         found.map_or(&[], |(_, homes)| homes)
     }
 }
+
+/// How many routers of these capacities, the largest first, to name for `rate` requests a second.
+///
+/// Callers spread evenly over the routers named, whatever these can carry. So one small router
+/// beside two large ones gets as much as each of them: when an organisation sends many times its
+/// usual, it would get several times what its link carries, while the large ones idle. Small
+/// routers are named only for rates that the large ones cannot carry, and then so many that an even
+/// share is little enough for each.
+pub fn how_many(capacities: &[f64], rate: f64) -> usize {
+    let Some(largest) = capacities.first() else { return 0 };
+    let use_of = |n: usize| rate / n as f64 / capacities[n - 1].max(1.0);
+    let large = capacities.iter().take_while(|c| **c >= largest * LARGE).count();
+    let carry = |n: &usize| use_of(*n) <= 1.0 / ROOM;
+    if let Some(n) = (1..=large).find(carry) {
+        return n;
+    }
+    if use_of(large) <= OVER_CAPACITY {
+        return large;
+    }
+    let all = 1..=capacities.len();
+    all.clone()
+        .find(carry)
+        .or_else(|| all.min_by(|a, b| use_of(*a).total_cmp(&use_of(*b))))
+        .unwrap_or(large)
+}
--- a/src/gateway/members.rs
+++ b/src/gateway/members.rs
@@ -295,13 +295,17 @@
     gw.entry.send_if_modified(|view| {
         let changed = view.routers != routers || view.ready != ready;
         if changed {
-            let n = routers.iter().filter(|r| !r.leaving).count();
+            view.routers = routers;
+            view.ready = ready;
+            let n = view.routers.iter().filter(|r| !r.leaving).count();
+            let named = view.answer("", &s.zone, &s.regions).len();
             gw.log.note(
                 "members",
-                format_args!("routers={} staying={n} ready={ready}", routers.len()),
+                format_args!(
+                    "routers={} staying={n} ready={ready} named={named}",
+                    view.routers.len(),
+                ),
             );
-            view.routers = routers;
-            view.ready = ready;
         }
         changed
     });
