--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -12,7 +12,8 @@
 /// Run the daemon under random faults and check what callers see
 ///
 /// Example: kingcupwall-soak --seeds 50 --seconds 20
-#[derive(Clone, Debug, Bpaf)]
+#[derive(Clone, Debug)]
+#[derive(Bpaf)]
 #[bpaf(options)]
 struct Args {
     /// First seed; without it a fresh one
--- a/src/allowance/ledger.rs
+++ b/src/allowance/ledger.rs
@@ -14,7 +14,8 @@
 const FORMAT: u8 = 3;
 
 /// A place that runs one process at a time, and the process that runs there now.
-#[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd)]
+#[derive(Deserialize, Serialize)]
 pub struct HolderName {
     /// Instance and address. The platform starts the next process of the same name only once
     /// the one before has ended.
@@ -30,7 +31,8 @@
 }
 
 /// One process's part of a budget.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct Grant {
     /// Whose it is.
     pub name: HolderName,
@@ -75,7 +77,8 @@
 }
 
 /// An organisation's budget as it stands in the store.
-#[derive(Clone, Debug, Default, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct Ledger {
     format: u8,
     /// Spent by processes that have ended or left, at the most.
--- a/src/allowance/line.rs
+++ b/src/allowance/line.rs
@@ -17,7 +17,8 @@
 /// At store time `t` the process has spent at most `floor + rate × (t − seen − opens)`, the
 /// bracket not below zero. The slope bounds what is in doubt once the process is known to have
 /// ended at some time; what nobody else may use is the ceiling of its grant.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct Line {
     /// May be spent at once.
     pub floor: Tokens,
--- a/src/allowance/spending.rs
+++ b/src/allowance/spending.rs
@@ -16,7 +16,8 @@
 const FORMAT: u8 = 1;
 
 /// What a process says of its spending for one organisation.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct OrgLine {
     /// The organisation.
     pub org: CompactString,
@@ -28,7 +29,8 @@
 
 /// The spending of an earlier process at this place that is not closed in the organisation's row
 /// yet.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct Former {
     /// The organisation.
     pub org: CompactString,
@@ -45,7 +47,8 @@
 }
 
 /// A place's row.
-#[derive(Clone, Debug, Default, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct Spending {
     format: u8,
     /// The process that wrote it.
--- a/src/allowance/wire.rs
+++ b/src/allowance/wire.rs
@@ -16,7 +16,8 @@
 pub const MAX_USES: usize = 20;
 
 /// A request for a part of a budget.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct Ask {
     /// Number of the loan, among those of the sender's process.
     pub number: u64,
@@ -29,7 +30,8 @@
 }
 
 /// What became of an ask.
-#[derive(Clone, Copy, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub enum Answer {
     /// The sender may spend what it asked for.
     Lent,
@@ -40,7 +42,8 @@
 }
 
 /// How a loan is used.
-#[derive(Clone, Copy, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct Use {
     /// Its number.
     pub number: u64,
@@ -55,7 +58,8 @@
 }
 
 /// A message.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub enum Message {
     /// To a lender.
     Ask(Ask),
@@ -68,7 +72,8 @@
 }
 
 /// A message with its sender's process.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct Envelope {
     format: u8,
     /// The sender's process.
--- a/src/api/chat.rs
+++ b/src/api/chat.rs
@@ -26,7 +26,8 @@
 use crate::table::Platform;
 
 /// A chat request. Fields that are not known are ignored, as callers' libraries send many.
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug)]
+#[derive(Deserialize)]
 struct ChatRequest {
     model: String,
     messages: Vec<ChatMessage>,
@@ -36,7 +37,8 @@
     stream: bool,
 }
 
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug)]
+#[derive(Deserialize)]
 struct ChatMessage {
     role: String,
     content: String,
--- a/src/api/entry.rs
+++ b/src/api/entry.rs
@@ -16,13 +16,15 @@
 use crate::table::Platform;
 
 /// The caller's place.
-#[derive(Debug, Deserialize)]
+#[derive(Debug)]
+#[derive(Deserialize)]
 pub struct Near {
     zone: Option<String>,
 }
 
 /// An entry answer.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct EntryAnswer {
     /// `ip:port`, best first.
     pub addresses: Vec<String>,
--- a/src/api/operator.rs
+++ b/src/api/operator.rs
@@ -91,7 +91,8 @@
 }
 
 /// What one holder has of a budget.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct HolderPart {
     /// The holder.
     pub holder: Incarnation,
@@ -106,7 +107,8 @@
 }
 
 /// A budget as the ledger has it.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct BudgetReport {
     /// The budget.
     pub budget: BudgetId,
@@ -221,7 +223,8 @@
 }
 
 /// Where a listing starts.
-#[derive(Debug, Deserialize)]
+#[derive(Debug)]
+#[derive(Deserialize)]
 pub struct After {
     #[serde(default)]
     after: u64,
--- a/src/audit.rs
+++ b/src/audit.rs
@@ -13,7 +13,8 @@
 use crate::table::{Table, read_one, scan_all};
 
 /// What was found.
-#[derive(Clone, Debug, Default, Eq, PartialEq, Serialize)]
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+#[derive(Serialize)]
 pub struct Audit {
     /// Requests of the callers.
     pub requests: usize,
--- a/src/budget/holder.rs
+++ b/src/budget/holder.rs
@@ -25,9 +25,8 @@
 const IDLE: Millis = Millis(60_000);
 
 /// Number of a hold within its incarnation.
-#[derive(
-    Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd, serde::Deserialize, serde::Serialize,
-)]
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+#[derive(serde::Deserialize, serde::Serialize)]
 #[serde(transparent)]
 pub struct HoldId(pub u64);
 
@@ -100,7 +99,8 @@
 }
 
 /// Usage of one budget at this router, for reports and tests.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq, kameo::Reply)]
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+#[derive(kameo::Reply)]
 pub struct Usage {
     /// The grant as the table has it.
     pub granted: Tokens,
--- a/src/budget/keeper.rs
+++ b/src/budget/keeper.rs
@@ -157,7 +157,8 @@
 pub struct Totals;
 
 /// Counts for reports and for a graceful stop.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq, kameo::Reply)]
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+#[derive(kameo::Reply)]
 pub struct KeeperTotals {
     /// Budgets with state here.
     pub pockets: usize,
--- a/src/budget/ledger.rs
+++ b/src/budget/ledger.rs
@@ -9,7 +9,8 @@
 use crate::table::{Mutation, RowKey, Version};
 
 /// What is out of one budget.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct BudgetRow {
     /// `closed` plus everything granted to holders; never more than the prepaid amount.
     pub committed: Tokens,
@@ -21,7 +22,8 @@
 }
 
 /// One holder's part of one budget.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct GrantRow {
     /// Everything this holder may ever bill to the budget.
     pub granted: Tokens,
@@ -32,7 +34,8 @@
 }
 
 /// State of a holder.
-#[derive(Clone, Copy, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 #[serde(rename_all = "snake_case")]
 pub enum HolderState {
     /// May be granted tokens.
@@ -44,7 +47,8 @@
 }
 
 /// One incarnation of a router, as a holder of grants.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct HolderRow {
     /// Its availability zone.
     pub zone: ZoneId,
@@ -62,7 +66,8 @@
 }
 
 /// The settled cost of one request. Its row is inserted once, whoever tries.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct Bill {
     /// Who pays.
     pub organisation: OrganisationId,
--- a/src/budget/witness.rs
+++ b/src/budget/witness.rs
@@ -15,7 +15,8 @@
 pub const MAX_COPIES: usize = 20_000;
 
 /// What a witness knows of one hold.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct Copy {
     /// Number of the hold at its holder.
     pub hold: HoldId,
--- a/src/client.rs
+++ b/src/client.rs
@@ -65,12 +65,14 @@
     pub tokens: u64,
 }
 
-#[derive(Debug, Deserialize)]
+#[derive(Debug)]
+#[derive(Deserialize)]
 struct ErrorBody {
     error: ErrorFields,
 }
 
-#[derive(Debug, Deserialize)]
+#[derive(Debug)]
+#[derive(Deserialize)]
 struct ErrorFields {
     kind: Kind,
     message: String,
--- a/src/cmd/ask.rs
+++ b/src/cmd/ask.rs
@@ -10,7 +10,8 @@
 /// Ask a router which addresses to use; prints one a line, best first
 ///
 /// Example: kingcupwall ask --router 127.0.0.1:8080 --api-key norte-key --zone hall-barracas
-#[derive(Clone, Debug, Bpaf)]
+#[derive(Clone, Debug)]
+#[derive(Bpaf)]
 #[bpaf(command("ask"))]
 pub struct Args {
     /// A router's address
--- a/src/cmd/budget.rs
+++ b/src/cmd/budget.rs
@@ -10,7 +10,8 @@
 /// Show an organisation's budgets: prepaid, settled, granted, in doubt, by holder
 ///
 /// Example: kingcupwall budget norte --router 127.0.0.1:8080 --key secret
-#[derive(Clone, Debug, Bpaf)]
+#[derive(Clone, Debug)]
+#[derive(Bpaf)]
 #[bpaf(command("budget"))]
 pub struct Args {
     /// A router's address
--- a/src/cmd/call.rs
+++ b/src/cmd/call.rs
@@ -12,7 +12,8 @@
 /// Send one chat request and stream the answer; retries elsewhere under the same key
 ///
 /// Example: kingcupwall call --router 127.0.0.1:8080 --api-key norte-key --model claims "Fridge is warm"
-#[derive(Clone, Debug, Bpaf)]
+#[derive(Clone, Debug)]
+#[derive(Bpaf)]
 #[bpaf(command("call"))]
 pub struct Args {
     /// A router's address
--- a/src/cmd/check.rs
+++ b/src/cmd/check.rs
@@ -10,7 +10,8 @@
 /// Check a configuration file and print every mistake as file:line: message
 ///
 /// Example: kingcupwall check examples/consorcio.ini
-#[derive(Clone, Debug, Bpaf)]
+#[derive(Clone, Debug)]
+#[derive(Bpaf)]
 #[bpaf(command("check"))]
 pub struct Args {
     /// Print nothing when the file is right
--- a/src/cmd/demo.rs
+++ b/src/cmd/demo.rs
@@ -32,7 +32,8 @@
 /// Exits with 0 only if every property held.
 ///
 /// Example: kingcupwall demo --seed 7
-#[derive(Clone, Debug, Bpaf)]
+#[derive(Clone, Debug)]
+#[derive(Bpaf)]
 #[bpaf(command("demo"))]
 pub struct Args {
     /// Makes the load repeatable
--- a/src/cmd/digest.rs
+++ b/src/cmd/digest.rs
@@ -10,7 +10,8 @@
 /// Print the digest of a key for a configuration; reads the key from standard input without KEY
 ///
 /// Example: kingcupwall digest norte-key
-#[derive(Clone, Debug, Bpaf)]
+#[derive(Clone, Debug)]
+#[derive(Bpaf)]
 #[bpaf(command("digest"))]
 pub struct Args {
     /// The key
--- a/src/cmd/experiment.rs
+++ b/src/cmd/experiment.rs
@@ -12,7 +12,8 @@
 /// quarantine in a model, the others in real time
 ///
 /// Example: kingcupwall experiment budget --json
-#[derive(Clone, Debug, Bpaf)]
+#[derive(Clone, Debug)]
+#[derive(Bpaf)]
 #[bpaf(command("experiment"))]
 pub struct Args {
     /// Requests in each cell
--- a/src/cmd/explain.rs
+++ b/src/cmd/explain.rs
@@ -11,7 +11,8 @@
 /// Lines of the request are marked with '>'. Exits with an error if no line names it.
 ///
 /// Example: kingcupwall explain 9c41d07be2a35f68 router-1.log router-2.log
-#[derive(Clone, Debug, Bpaf)]
+#[derive(Clone, Debug)]
+#[derive(Bpaf)]
 #[bpaf(command("explain"))]
 pub struct Args {
     /// The request's id
--- a/src/cmd/gateway_demo.rs
+++ b/src/cmd/gateway_demo.rs
@@ -32,7 +32,8 @@
 /// Exits with 0 only if every property held.
 ///
 /// Example: kingcupwall gateway-demo --requests 300
-#[derive(Clone, Debug, Bpaf)]
+#[derive(Clone, Debug)]
+#[derive(Bpaf)]
 #[bpaf(command("gateway-demo"))]
 pub struct Args {
     /// Requests to send
--- a/src/cmd/load.rs
+++ b/src/cmd/load.rs
@@ -14,7 +14,8 @@
 /// Organisations are given as NAME:API_KEY:SHARE.
 ///
 /// Example: kingcupwall load --router 127.0.0.1:8080 --model claims --org norte:norte-key:3 --rate 50
-#[derive(Clone, Debug, Bpaf)]
+#[derive(Clone, Debug)]
+#[derive(Bpaf)]
 #[bpaf(command("load"))]
 pub struct Args {
     /// A router's address; repeatable
--- a/src/cmd/router.rs
+++ b/src/cmd/router.rs
@@ -10,7 +10,8 @@
 /// Run one router until SIGTERM, then drain it
 ///
 /// Example: kingcupwall router --settings router.ini
-#[derive(Clone, Debug, Bpaf)]
+#[derive(Clone, Debug)]
+#[derive(Bpaf)]
 #[bpaf(command("router"))]
 pub struct Args {
     /// INI file with this router's settings
--- a/src/cmd/standin.rs
+++ b/src/cmd/standin.rs
@@ -24,14 +24,16 @@
 /// Run a stand-in for the platform or for a target
 ///
 /// Example: kingcupwall standin platform --listen 127.0.0.1:9000
-#[derive(Clone, Debug, Bpaf)]
+#[derive(Clone, Debug)]
+#[derive(Bpaf)]
 #[bpaf(command("standin"))]
 pub struct Args {
     #[bpaf(external)]
     which: Which,
 }
 
-#[derive(Clone, Debug, Bpaf)]
+#[derive(Clone, Debug)]
+#[derive(Bpaf)]
 enum Which {
     /// Table, object store and instance list
     #[bpaf(command("platform"))]
--- a/src/cmd/status.rs
+++ b/src/cmd/status.rs
@@ -10,7 +10,8 @@
 /// Show routers, targets and revisions as one router sees them
 ///
 /// Example: kingcupwall status --router 127.0.0.1:8080 --key secret
-#[derive(Clone, Debug, Bpaf)]
+#[derive(Clone, Debug)]
+#[derive(Bpaf)]
 #[bpaf(command("status"))]
 pub struct Args {
     /// A router's address
--- a/src/cmd/submit.rs
+++ b/src/cmd/submit.rs
@@ -19,7 +19,8 @@
 /// taken.
 ///
 /// Example: kingcupwall submit fleet.ini --base 41 --router 127.0.0.1:8080 --key secret
-#[derive(Clone, Debug, Bpaf)]
+#[derive(Clone, Debug)]
+#[derive(Bpaf)]
 #[bpaf(command("submit"))]
 pub struct Args {
     /// A router's address
--- a/src/config/revision.rs
+++ b/src/config/revision.rs
@@ -19,7 +19,8 @@
 const SNAPSHOT_FORMAT: u32 = 1;
 
 /// A change of one section.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct Edit {
     /// What stands between the brackets, such as `budget acme/main`.
     pub header: CompactString,
@@ -28,7 +29,8 @@
 }
 
 /// The row of one accepted revision.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct RevisionRow {
     /// The revision that the edits lead to.
     pub revision: Revision,
@@ -45,7 +47,8 @@
 }
 
 /// The row that names the revision in force.
-#[derive(Clone, Copy, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct Head {
     /// The newest accepted revision.
     pub revision: Revision,
--- a/src/config/store.rs
+++ b/src/config/store.rs
@@ -33,14 +33,16 @@
 }
 
 /// The row that names a snapshot object.
-#[derive(Clone, Debug, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(serde::Deserialize, serde::Serialize)]
 struct SnapshotRow {
     revision: Revision,
     object: CompactString,
 }
 
 /// A submission.
-#[derive(Clone, Debug, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(serde::Deserialize, serde::Serialize)]
 pub struct Submission {
     /// Chosen by the submitter; repeating a submission with it finds the first outcome.
     pub id: CompactString,
--- a/src/engine/mod.rs
+++ b/src/engine/mod.rs
@@ -11,7 +11,8 @@
 use crate::ids::{RequestKey, RunId};
 
 /// A run to start at a model engine.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct StartRun {
     /// Unique over all routers; the engine keeps at most one run of an id.
     pub run: RunId,
@@ -28,7 +29,8 @@
 }
 
 /// What a run cost.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct RunUsage {
     /// Tokens of the prompt.
     pub prompt_tokens: u64,
@@ -37,7 +39,8 @@
 }
 
 /// A piece of an answer.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Piece {
     /// The token at `offset`.
@@ -52,7 +55,8 @@
 }
 
 /// A piece and the run that it belongs to.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct Part {
     /// Whose piece it is.
     pub run: RunId,
@@ -61,7 +65,8 @@
 }
 
 /// A target's own view of its load, some time old when it arrives.
-#[derive(Clone, Debug, Default, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct LoadReport {
     /// Runs in the batch.
     pub active: u32,
@@ -80,7 +85,8 @@
 }
 
 /// What a target knows of a run that was to be cancelled.
-#[derive(Clone, Copy, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Cancelled {
     /// It never started, and from now on never will.
@@ -92,7 +98,8 @@
 }
 
 /// An order to a target.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct Order {
     /// Fencing number of the decider's lease. Some targets refuse an older one, some ignore it.
     pub fence: u64,
@@ -101,7 +108,8 @@
 }
 
 /// A call of a plain service.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct ServiceCall {
     /// Unique over all routers.
     pub run: RunId,
@@ -116,7 +124,8 @@
 }
 
 /// A plain service's answer.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct ServiceAnswer {
     /// HTTP status.
     pub status: u16,
--- a/src/error.rs
+++ b/src/error.rs
@@ -5,7 +5,8 @@
 use serde::{Deserialize, Serialize};
 
 /// What is known about the execution of a request that got an error.
-#[derive(Clone, Copy, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 #[serde(rename_all = "snake_case")]
 pub enum NotRun {
     /// Nothing reached a target, and nothing will.
@@ -17,7 +18,8 @@
 }
 
 /// Every way in which an operation can fail.
-#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd, Deserialize, Serialize)]
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+#[derive(Deserialize, Serialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Kind {
     /// The request cannot be parsed or misses a field.
--- a/src/experiment/budget.rs
+++ b/src/experiment/budget.rs
@@ -125,7 +125,8 @@
 }
 
 /// One cell of the result.
-#[derive(Clone, Debug, Serialize)]
+#[derive(Clone, Debug)]
+#[derive(Serialize)]
 pub struct Cell {
     /// How grants were sized.
     pub policy: String,
--- a/src/experiment/capacity.rs
+++ b/src/experiment/capacity.rs
@@ -27,7 +27,8 @@
 use crate::table::{Mutation, Table, Txn};
 
 /// One measured point.
-#[derive(Clone, Debug, Serialize)]
+#[derive(Clone, Debug)]
+#[derive(Serialize)]
 pub struct Point {
     /// What was measured.
     pub what: &'static str,
--- a/src/experiment/cold_start.rs
+++ b/src/experiment/cold_start.rs
@@ -40,7 +40,8 @@
 const LARGE_PERCENT: u8 = 85;
 
 /// How routers keep to the bound.
-#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize)]
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Serialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Mechanism {
     /// Not at all.
@@ -54,7 +55,8 @@
 }
 
 /// What routers believe of one another.
-#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize)]
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Serialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Views {
     /// All have the same list.
@@ -64,7 +66,8 @@
 }
 
 /// The outcome of one play.
-#[derive(Clone, Copy, Debug, Serialize)]
+#[derive(Clone, Copy, Debug)]
+#[derive(Serialize)]
 pub struct Cell {
     /// How routers keep to the bound.
     pub mechanism: Mechanism,
--- a/src/experiment/overhead.rs
+++ b/src/experiment/overhead.rs
@@ -20,7 +20,8 @@
 const TOKENS: u64 = 8;
 
 /// Times of whole answers, in microseconds.
-#[derive(Clone, Debug, Serialize)]
+#[derive(Clone, Debug)]
+#[derive(Serialize)]
 pub struct Overhead {
     /// Requests that counted, of each kind.
     pub requests: usize,
--- a/src/experiment/quarantine.rs
+++ b/src/experiment/quarantine.rs
@@ -37,7 +37,8 @@
 const WRITE_MS: u64 = 500;
 
 /// How routers share what they see.
-#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize)]
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Serialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Sharing {
     /// Nothing is remembered of requests.
@@ -51,7 +52,8 @@
 }
 
 /// What happens beside the usual requests.
-#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize)]
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Serialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Trouble {
     /// The cause comes again and again.
@@ -63,7 +65,8 @@
 }
 
 /// The outcome of one play.
-#[derive(Clone, Copy, Debug, Serialize)]
+#[derive(Clone, Copy, Debug)]
+#[derive(Serialize)]
 pub struct Cell {
     /// How routers share.
     pub sharing: Sharing,
--- a/src/gateway/fingerprint.rs
+++ b/src/gateway/fingerprint.rs
@@ -11,7 +11,8 @@
 
 /// Digest of what a target is asked: organisation, method, host, path with query, and body. The
 /// organisation is part of it, so that nobody can make a request that passes for another's.
-#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd, Deserialize, Serialize)]
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+#[derive(Deserialize, Serialize)]
 #[serde(transparent)]
 pub struct Fingerprint(pub u64);
 
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -8,26 +8,26 @@
 use compact_str::CompactString;
 use tokio::time::{Instant, sleep, timeout_at};
 
+use super::backend::{Backend, Planned};
 use super::catalog::{Catalog, Route, RouteKind};
 use super::fingerprint::Fingerprint;
 use super::liveness::await_evidence;
 use super::outcome::{self, Ended, Final, Made, Next};
 use super::place::{Demand, Placement, place};
 use super::reach::{Barred, Reach};
+use super::refusal::{COME_BACK, MOST_COME_BACK, Own, Unadmitted, cold_refusal};
+use super::reply::Reply;
 use super::request::{Facts, Names, host, path};
-use super::sse::{Events, Splitter};
 use super::state::{Gateway, Platform};
 use super::stats::sent;
 use super::sync::confirm_config;
-use super::targets::{Backend, Flight, Found, PlaceRequest, Planned};
+use super::targets::{Found, PlaceRequest};
 use crate::allowance::{Asked, Hold, Refusal};
-use crate::http1::{Conn, Decoder, RequestHead, ResponseHead};
+use crate::http1::RequestHead;
 use crate::ids::Tokens;
 
 /// Least time that a target must have left; less is spent on the way.
 const LEAST_TIME: Duration = Duration::from_millis(5);
-/// When to come back after a refusal that names no better time.
-const COME_BACK: Duration = Duration::from_millis(400);
 /// When to come back if this router lacks a part of the budget: a cut from the store lasts
 /// seconds, other routers may have a part.
 const COME_BACK_BUDGET: Duration = Duration::from_millis(800);
@@ -37,46 +37,6 @@
 const COME_BACK_EMPTIED: Duration = Duration::from_secs(3);
 /// Each rank of urgency waits so much longer for room at a cold target than the one before it.
 const RANK_PAUSE: Duration = Duration::from_millis(10);
-/// How far the times to come back for a cold target are spread, against the time itself.
-const COLD_SPREAD: f64 = 1.0;
-
-/// The longest time to come back that is named while it is not known when there is room: a cut
-/// from the store can end at any moment.
-const MOST_COME_BACK: Duration = Duration::from_secs(3);
-
-/// An answer of the router's own.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub struct Own {
-    /// Status code. 408, 421, 429 and 503 promise that the request did not run and will not.
-    pub status: u16,
-    /// Why, for the caller and the log.
-    pub reason: &'static str,
-    /// When to come back.
-    pub retry_after: Option<Duration>,
-}
-
-impl Own {
-    /// An answer without a time to come back.
-    pub fn new(status: u16, reason: &'static str) -> Own {
-        Own { status, reason, retry_after: None }
-    }
-
-    /// A refusal: not run, with the time to come back.
-    pub fn refusal(reason: &'static str, after: Duration) -> Own {
-        Own { status: 503, reason, retry_after: Some(after) }
-    }
-}
-
-/// A request that was not admitted, and as much of it as was known by then.
-#[derive(Clone, Debug)]
-pub struct Unadmitted {
-    /// The answer.
-    pub own: Own,
-    /// Name of its route.
-    pub route: Option<CompactString>,
-    /// Whose it is.
-    pub org: Option<CompactString>,
-}
 
 /// Why a request has no target.
 enum Unplaced {
@@ -86,12 +46,6 @@
     Cold { room_in: Duration },
 }
 
-/// Callers come back when there is room, and not all at once.
-fn cold_refusal(room_in: Duration) -> Own {
-    let after = room_in.mul_f64(1.0 + COLD_SPREAD * fastrand::f64());
-    Own::refusal("cold", after.clamp(COME_BACK, MOST_COME_BACK))
-}
-
 /// A request that is being served.
 pub struct Job<'a, P: Platform> {
     /// The router.
@@ -130,57 +84,6 @@
     pub(super) fingerprint: OnceCell<Fingerprint>,
 }
 
-/// A target's answer, as far as it was read.
-pub struct Reply {
-    /// Its head.
-    pub head: ResponseHead,
-    /// The answer's payload so far; for streams whole events only.
-    pub start: Bytes,
-    /// What is still to come.
-    pub rest: Option<Rest>,
-    /// The target's load; ends with the reply.
-    pub flight: Flight,
-}
-
-/// The part of an answer that is still to come.
-pub struct Rest {
-    /// The connection to the target.
-    pub conn: Conn,
-    /// Framing of the body.
-    pub body: Decoder,
-    /// Set for a stream: its events so far.
-    pub stream: Option<StreamState>,
-}
-
-/// How far a stream has come.
-#[derive(Debug, Default)]
-pub struct StreamState {
-    /// Cuts events out.
-    pub splitter: Splitter,
-    /// The last event's id.
-    pub last_id: Option<CompactString>,
-    /// Whole events so far.
-    pub events: u64,
-}
-
-impl StreamState {
-    /// Adds a piece of the stream; returns the whole events in it.
-    ///
-    /// # Errors
-    /// `Truncated` if it holds no events.
-    pub fn push(&mut self, piece: &[u8]) -> Result<Option<Bytes>, Ended> {
-        let Some(events) = self.splitter.push(piece).map_err(|_| Ended::Truncated)? else {
-            return Ok(None);
-        };
-        let Events { bytes, count, last_id } = events;
-        self.events += count;
-        if last_id.is_some() {
-            self.last_id = last_id;
-        }
-        Ok(Some(bytes))
-    }
-}
-
 /// Finds route, organisation and service of a request.
 ///
 /// # Errors
--- a/src/gateway/front.rs
+++ b/src/gateway/front.rs
@@ -8,7 +8,8 @@
 use tokio::sync::watch;
 use tokio::time::{Instant, timeout};
 
-use super::forward::{Job, Own, Unadmitted, label};
+use super::forward::{Job, label};
+use super::refusal::{Own, Unadmitted};
 use super::relay::{Relayed, relay, write_own};
 use super::request::Facts;
 use super::state::{Gateway, Phase, Platform};
--- a/src/gateway/hints.rs
+++ b/src/gateway/hints.rs
@@ -14,9 +14,9 @@
 use tokio::sync::Notify;
 use tokio::time::sleep;
 
+use super::backend::{Planned, target_word};
 use super::datagram::Topic;
 use super::request::Part;
-use super::targets::{Planned, target_word};
 
 /// Placements of so long go into one datagram: a wake-up costs more than the bytes.
 const GATHER: Duration = Duration::from_millis(10);
@@ -30,7 +30,8 @@
 const FORMAT: u8 = 2;
 
 /// One prompt on its way to a target.
-#[derive(Clone, Debug, Deserialize, Serialize)]
+#[derive(Clone, Debug)]
+#[derive(Deserialize, Serialize)]
 pub struct Hint {
     /// Digest of the target's id.
     pub target: u64,
@@ -49,7 +50,8 @@
     }
 }
 
-#[derive(Debug, Deserialize, Serialize)]
+#[derive(Debug)]
+#[derive(Deserialize, Serialize)]
 struct Datagram {
     format: u8,
     hints: Vec<Hint>,
--- a/src/gateway/members.rs
+++ b/src/gateway/members.rs
@@ -32,7 +32,8 @@
 const RENEWAL_MS: u64 = 500;
 
 /// A router's row.
-#[derive(Clone, Debug, Deserialize, Serialize)]
+#[derive(Clone, Debug)]
+#[derive(Deserialize, Serialize)]
 struct Entry {
     front: SocketAddr,
     peer: SocketAddr,
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -6,6 +6,7 @@
 //! [`retries`] (whether the fleet can afford it), [`timing`] (how fast engines are), [`entry`] (which routers callers should use).
 //! [`forward`] with its sends, [`relay`] and [`front`] carry them out.
 
+pub mod backend;
 pub mod catalog;
 pub mod cold;
 pub mod crashes;
@@ -27,7 +28,9 @@
 pub mod pool;
 pub mod quarantine;
 pub mod reach;
+pub mod refusal;
 pub mod relay;
+pub mod reply;
 pub mod request;
 pub mod retries;
 mod send;
@@ -42,9 +45,9 @@
 pub mod warmup;
 pub mod zones;
 
+pub use backend::{StartedMs, TargetInfo, TargetState};
 pub use catalog::{Catalog, CatalogParts, Limits, Organisation, Route, RouteKind, Service};
 pub use entry::EntryView;
 pub use request::Names;
 pub use start::start;
 pub use state::{Gateway, Platform, Settings};
-pub use targets::{StartedMs, TargetInfo, TargetState};
--- a/src/gateway/orders.rs
+++ b/src/gateway/orders.rs
@@ -10,7 +10,8 @@
 const MAX_ZONES: usize = 256;
 
 /// What the operator wants of one availability zone.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct ZoneOrder {
     /// The zone.
     #[serde(rename = "z")]
--- a/src/gateway/quarantine.rs
+++ b/src/gateway/quarantine.rs
@@ -35,12 +35,14 @@
 const MAX_SINGLES_REPORTED: usize = 8;
 
 /// One start of a target, by a digest of its id and start.
-#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd, Deserialize, Serialize)]
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+#[derive(Deserialize, Serialize)]
 #[serde(transparent)]
 pub struct Incarnation(pub u64);
 
 /// A target ended while it had a request.
-#[derive(Clone, Copy, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct Crash {
     /// The request.
     #[serde(rename = "r")]
@@ -57,7 +59,8 @@
 }
 
 /// A request under which targets had ended was answered whole.
-#[derive(Clone, Copy, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct EndedWell {
     /// The request.
     #[serde(rename = "r")]
@@ -68,7 +71,8 @@
 }
 
 /// What one router saw.
-#[derive(Clone, Debug, Default, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct Report {
     /// Crashes.
     #[serde(rename = "c")]
--- /dev/null
+++ b/src/gateway/refusal.rs
@@ -0,0 +1,53 @@
+//! Answers of the router's own, and when callers should come back.
+
+use std::time::Duration;
+
+use compact_str::CompactString;
+
+/// When to come back after a refusal that names no better time.
+pub const COME_BACK: Duration = Duration::from_millis(400);
+/// The longest time to come back that is named while it is not known when there is room: a cut
+/// from the store can end at any moment.
+pub const MOST_COME_BACK: Duration = Duration::from_secs(3);
+/// How far the times to come back for a cold target are spread, against the time itself.
+const COLD_SPREAD: f64 = 1.0;
+
+/// An answer of the router's own.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Own {
+    /// Status code. 408, 421, 429 and 503 promise that the request did not run and will not.
+    pub status: u16,
+    /// Why, for the caller and the log.
+    pub reason: &'static str,
+    /// When to come back.
+    pub retry_after: Option<Duration>,
+}
+
+impl Own {
+    /// An answer without a time to come back.
+    pub fn new(status: u16, reason: &'static str) -> Own {
+        Own { status, reason, retry_after: None }
+    }
+
+    /// A refusal: not run, with the time to come back.
+    pub fn refusal(reason: &'static str, after: Duration) -> Own {
+        Own { status: 503, reason, retry_after: Some(after) }
+    }
+}
+
+/// A request that was not admitted, and as much of it as was known by then.
+#[derive(Clone, Debug)]
+pub struct Unadmitted {
+    /// The answer.
+    pub own: Own,
+    /// Name of its route.
+    pub route: Option<CompactString>,
+    /// Whose it is.
+    pub org: Option<CompactString>,
+}
+
+/// Callers come back when there is room, and not all at once.
+pub fn cold_refusal(room_in: Duration) -> Own {
+    let after = room_in.mul_f64(1.0 + COLD_SPREAD * fastrand::f64());
+    Own::refusal("cold", after.clamp(COME_BACK, MOST_COME_BACK))
+}
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -7,8 +7,10 @@
 use tokio::time::{timeout, timeout_at};
 
 use super::catalog::RouteKind;
-use super::forward::{Job, Own, Reply, Rest};
+use super::forward::Job;
 use super::liveness::await_evidence;
+use super::refusal::Own;
+use super::reply::{Reply, Rest};
 use super::request::{is_hop_by_hop, line};
 use super::state::{Phase, Platform};
 use crate::http1::{Conn, ResponseHead};
@@ -159,7 +161,7 @@
 struct Ongoing {
     rest: Rest,
     head: ResponseHead,
-    flight: super::targets::Flight,
+    flight: super::backend::Flight,
     frame: Frame,
 }
 
--- a/src/gateway/send.rs
+++ b/src/gateway/send.rs
@@ -6,13 +6,14 @@
 use bytes::{Bytes, BytesMut};
 use tokio::time::{Instant, timeout};
 
+use super::backend::{Backend, Flight, Planned};
 use super::cold::Pace;
-use super::forward::{Job, Reply, Rest, StreamState};
+use super::forward::Job;
 use super::outcome::Ended;
 use super::pool::{Link, dial};
+use super::reply::{Reply, Rest, StreamState};
 use super::request::{Additions, Names, encode};
 use super::state::Platform;
-use super::targets::{Backend, Flight, Planned};
 use crate::http1::{Conn, Decoder, HeadError, ResponseHead, header};
 use crate::ids::Tokens;
 
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -8,6 +8,7 @@
 use compact_str::CompactString;
 use tokio::sync::{Notify, watch};
 
+use super::backend::TargetInfo;
 use super::catalog::{Catalog, Limits};
 use super::cold::{ColdBound, Pace};
 use super::crashes::Crashes;
@@ -18,7 +19,7 @@
 use super::reach::ZoneRegions;
 use super::request::Names;
 use super::retries::{RetryAllowance, RetryShares};
-use super::targets::{TargetInfo, Targets};
+use super::targets::Targets;
 use super::warmup::Admissions;
 use super::zones::Zones;
 use crate::allowance::{HolderName, Keeper, KeeperSettings};
--- a/src/gateway/suspects.rs
+++ b/src/gateway/suspects.rs
@@ -7,11 +7,12 @@
 use tokio::task::{JoinHandle, spawn_local};
 use tokio::time::{Instant, sleep};
 
+use super::backend::Backend;
 use super::fingerprint::Fingerprint;
-use super::forward::{Job, Own};
+use super::forward::Job;
 use super::quarantine::{Crash, EndedWell};
+use super::refusal::Own;
 use super::state::{Gateway, Platform};
-use super::targets::Backend;
 use crate::rows::StoreMs;
 
 /// How long after its caller left a request still counts as one that its target had: the target
--- a/src/gateway/warmup.rs
+++ b/src/gateway/warmup.rs
@@ -12,9 +12,9 @@
 use tokio::sync::oneshot;
 use tokio::time::{Instant, timeout};
 
+use super::backend::target_word;
 use super::cold::{ADMISSION_LIFE, Admitter, Owner, Pace, owner};
 use super::datagram::Topic;
-use super::targets::target_word;
 use crate::oplog::Log;
 use crate::stats::{Reason, Stats};
 
@@ -24,7 +24,8 @@
 const TOO_LATE: Duration = Duration::from_millis(20);
 
 /// A word between a router that has a request and the owner of a cold target.
-#[derive(Clone, Copy, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub enum Word {
     /// May one request go to the target of this digest?
     Ask {
--- a/src/ids.rs
+++ b/src/ids.rs
@@ -95,7 +95,8 @@
 );
 
 /// A prepaid budget, `organisation/name`: in id order an organisation's budgets stand together.
-#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+#[derive(Deserialize, Serialize)]
 #[serde(transparent)]
 pub struct BudgetId(CompactString);
 
@@ -130,20 +131,8 @@
 }
 
 /// A count of model tokens, the unit of every budget.
-#[derive(
-    Clone,
-    Copy,
-    Debug,
-    Default,
-    Eq,
-    Hash,
-    Ord,
-    PartialEq,
-    PartialOrd,
-    kameo::Reply,
-    Deserialize,
-    Serialize,
-)]
+#[derive(Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd)]
+#[derive(kameo::Reply, Deserialize, Serialize)]
 #[serde(transparent)]
 pub struct Tokens(pub u64);
 
@@ -203,9 +192,8 @@
 }
 
 /// A duration in milliseconds, as settings and wire frames carry it.
-#[derive(
-    Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd, Deserialize, Serialize,
-)]
+#[derive(Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd)]
+#[derive(Deserialize, Serialize)]
 #[serde(transparent)]
 pub struct Millis(pub u64);
 
@@ -249,9 +237,8 @@
 }
 
 /// A revision of the configuration. Only ever grows.
-#[derive(
-    Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd, Deserialize, Serialize,
-)]
+#[derive(Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd)]
+#[derive(Deserialize, Serialize)]
 #[serde(transparent)]
 pub struct Revision(pub u64);
 
@@ -272,7 +259,8 @@
 }
 
 /// A digest of content, for comparing and for storing API keys.
-#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd, Deserialize, Serialize)]
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+#[derive(Deserialize, Serialize)]
 #[serde(try_from = "String", into = "String")]
 pub struct Digest([u8; 16]);
 
--- a/src/load.rs
+++ b/src/load.rs
@@ -65,7 +65,8 @@
 }
 
 /// Sums over a load.
-#[derive(Clone, Debug, Default, Serialize)]
+#[derive(Clone, Debug, Default)]
+#[derive(Serialize)]
 pub struct Summary {
     /// Requests sent.
     pub requests: usize,
--- a/src/main.rs
+++ b/src/main.rs
@@ -9,7 +9,8 @@
 use log::LevelFilter;
 
 /// A router fleet for prepaid token budgets
-#[derive(Clone, Debug, Bpaf)]
+#[derive(Clone, Debug)]
+#[derive(Bpaf)]
 #[bpaf(options, version)]
 struct Options {
     /// Log level: off, error, warn, info, debug
@@ -19,7 +20,8 @@
     command: Command,
 }
 
-#[derive(Clone, Debug, Bpaf)]
+#[derive(Clone, Debug)]
+#[derive(Bpaf)]
 enum Command {
     Ask(#[bpaf(external(cmd::ask::args))] cmd::ask::Args),
     Budget(#[bpaf(external(cmd::budget::args))] cmd::budget::Args),
--- a/src/membership/frame.rs
+++ b/src/membership/frame.rs
@@ -20,7 +20,8 @@
 const CONTEXT: &str = "kingcupwall link v1";
 
 /// The first frame in each direction.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct Hello {
     /// Newest version spoken.
     pub version: u32,
--- a/src/membership/link.rs
+++ b/src/membership/link.rs
@@ -30,7 +30,8 @@
 type Socket = WebSocketStream<TcpStream>;
 
 /// A question or a reply, numbered by the side that asked.
-#[derive(Debug, Deserialize, Serialize)]
+#[derive(Debug)]
+#[derive(Deserialize, Serialize)]
 struct Numbered<T> {
     id: u64,
     body: T,
--- a/src/membership/view.rs
+++ b/src/membership/view.rs
@@ -12,7 +12,8 @@
 const REMEMBER: u64 = 30;
 
 /// What a router tells about itself, and others pass on.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct Entry {
     /// Which start of which router.
     pub incarnation: Incarnation,
--- a/src/membership/wire.rs
+++ b/src/membership/wire.rs
@@ -19,7 +19,8 @@
 };
 
 /// A question to another router.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Ask {
     /// A heartbeat with entries of several routers.
@@ -92,7 +93,8 @@
 }
 
 /// What a router knows of a request.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct Found {
     /// Digest of the request's content.
     pub content: Digest,
@@ -111,7 +113,8 @@
 }
 
 /// An answer of another router.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Reply {
     /// Done.
@@ -133,7 +136,8 @@
 }
 
 /// An error as it travels.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct Refusal {
     /// Its kind.
     pub kind: crate::error::Kind,
--- a/src/router/drive_call.rs
+++ b/src/router/drive_call.rs
@@ -48,7 +48,8 @@
 }
 
 /// State of a claimed call.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 #[serde(rename_all = "snake_case")]
 enum ClaimState {
     /// Its owner may have dispatched it.
@@ -57,7 +58,8 @@
     Done(Option<ServiceAnswer>),
 }
 
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 struct ClaimRow {
     content: Digest,
     owner: Incarnation,
--- a/src/rows/mod.rs
+++ b/src/rows/mod.rs
@@ -13,19 +13,8 @@
 pub use memory::{Fault, MemoryRows};
 
 /// The store's counter: it grows with each transaction, and each row bears the one that wrote it.
-#[derive(
-    Clone,
-    Copy,
-    Debug,
-    Default,
-    Eq,
-    Hash,
-    Ord,
-    PartialEq,
-    PartialOrd,
-    serde::Deserialize,
-    serde::Serialize,
-)]
+#[derive(Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd)]
+#[derive(serde::Deserialize, serde::Serialize)]
 #[serde(transparent)]
 pub struct Ver(pub u64);
 
@@ -36,19 +25,8 @@
 }
 
 /// Milliseconds of the store's steady clock. Comparable only with others of the same store.
-#[derive(
-    Clone,
-    Copy,
-    Debug,
-    Default,
-    Eq,
-    Hash,
-    Ord,
-    PartialEq,
-    PartialOrd,
-    serde::Deserialize,
-    serde::Serialize,
-)]
+#[derive(Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd)]
+#[derive(serde::Deserialize, serde::Serialize)]
 #[serde(transparent)]
 pub struct StoreMs(pub u64);
 
--- a/src/standin/platform.rs
+++ b/src/standin/platform.rs
@@ -17,7 +17,8 @@
 use crate::table::{Instance, Instances, Objects, RowKey, Table, Txn};
 
 /// How the stand-in misbehaves; the body of `POST /admin/faults`.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct PlatformFaults {
     /// Everything fails.
--- a/src/standin/target.rs
+++ b/src/standin/target.rs
@@ -22,7 +22,8 @@
 use crate::ids::{RequestKey, RunId};
 
 /// How the stand-in misbehaves; the body of `POST /admin/faults`.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct TargetFaults {
     /// New runs are answered 503.
@@ -277,7 +278,8 @@
 /// After this time a leaving target must get nothing new; what comes all the same is counted.
 const LEAVING_GRACE: Duration = Duration::from_secs(3);
 
-#[derive(Debug, Deserialize)]
+#[derive(Debug)]
+#[derive(Deserialize)]
 struct From {
     #[serde(default)]
     from: u64,
--- a/src/stats.rs
+++ b/src/stats.rs
@@ -10,7 +10,8 @@
 use std::sync::Arc;
 
 /// A request's end: what answered, and why.
-#[derive(Clone, Debug, Eq, Hash, PartialEq, EncodeLabelSet)]
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+#[derive(EncodeLabelSet)]
 pub struct EndLabels {
     /// Kind of route.
     pub kind: &'static str,
@@ -19,7 +20,8 @@
 }
 
 /// One label.
-#[derive(Clone, Debug, Eq, Hash, PartialEq, EncodeLabelSet)]
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+#[derive(EncodeLabelSet)]
 pub struct Reason {
     /// Why.
     pub reason: &'static str,
--- a/src/table/mod.rs
+++ b/src/table/mod.rs
@@ -18,12 +18,14 @@
 pub type RowKey = CompactString;
 
 /// A row's version. Grows with every write of the row.
-#[derive(Clone, Copy, Debug, Default, Eq, Ord, PartialEq, PartialOrd, Deserialize, Serialize)]
+#[derive(Clone, Copy, Debug, Default, Eq, Ord, PartialEq, PartialOrd)]
+#[derive(Deserialize, Serialize)]
 #[serde(transparent)]
 pub struct Version(pub u64);
 
 /// A row as it was read.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct Row {
     /// The row's key.
     pub key: RowKey,
@@ -45,7 +47,8 @@
 }
 
 /// A condition on one row.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct Guard {
     /// The row that is compared.
     pub key: RowKey,
@@ -54,7 +57,8 @@
 }
 
 /// A write of one row.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct Put {
     /// The row that is written.
     pub key: RowKey,
@@ -64,7 +68,8 @@
 
 /// Guards and writes that belong together. Independent mutations share a transaction only to
 /// save writes.
-#[derive(Clone, Debug, Default, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct Mutation {
     /// All must hold.
     pub guards: Vec<Guard>,
@@ -94,7 +99,8 @@
 }
 
 /// One transaction. Repeating it with the same id yields the first outcome.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct Txn {
     /// Makes a repeat safe after a lost answer.
     pub id: CompactString,
@@ -103,7 +109,8 @@
 }
 
 /// What became of a transaction.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Outcome {
     /// Everything is applied; every row written has this version.
@@ -154,7 +161,8 @@
 }
 
 /// State of an instance in the platform's list.
-#[derive(Clone, Copy, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 #[serde(rename_all = "snake_case")]
 pub enum InstanceState {
     /// Serves.
@@ -164,7 +172,8 @@
 }
 
 /// One line of the platform's instance list.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct Instance {
     /// Name of the instance, or of the target that it serves.
     pub name: CompactString,
--- a/tests/test_gateway_targets.rs
+++ b/tests/test_gateway_targets.rs
@@ -3,12 +3,11 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use kingcupwall::gateway::backend::target_word;
+use kingcupwall::gateway::backend::{Backend, Flight, Planned, StartedMs, TargetInfo, TargetState};
 use kingcupwall::gateway::reach::Reach;
 use kingcupwall::gateway::request::Part;
-use kingcupwall::gateway::targets::target_word;
-use kingcupwall::gateway::targets::{
-    Backend, Change, Flight, PlaceRequest, Planned, StartedMs, TargetInfo, TargetState, Targets,
-};
+use kingcupwall::gateway::targets::{Change, PlaceRequest, Targets};
 use kingcupwall::gateway::timing::Reading;
 use rstest::rstest;
 use tokio::time::Instant;
