--- a/tests/test_gateway_cold.rs
+++ b/tests/test_gateway_cold.rs
@@ -257,6 +257,28 @@
     });
 }
 
+#[test]
+fn cold_in_zone_taken_back_before_target_is_known() {
+    // Guards against a target that gets all requests at once because its zone was taken back
+    // before this router knew of it, or of the configuration.
+    local(async {
+        let mut fleet = Fleet::start(1, 0, 1).await;
+        fleet.platform.empty_zone("zone-1");
+        let gw = fleet.routers[0].gw.clone();
+        eventually("it is emptied", || gw.zones.is_emptied("zone-1")).await;
+        fleet.platform.take_zone_back("zone-1");
+        eventually("it is back", || !gw.zones.is_emptied("zone-1")).await;
+        let target = StandinTarget::start("t2", "model", "zone-1").await.unwrap();
+        target.set_cold(Some(BEARS));
+        fleet.platform.register(&target, "ready");
+        eventually("it is known", || gw.targets.count().0 == 2).await;
+        fleet.targets.push(target);
+        fleet.burst(30).await;
+        let target = &fleet.targets[1];
+        assert!(!target.has_ended(), "{} within a second", target.most_while_cold());
+    });
+}
+
 #[test]
 fn cold_after_it_could_not_be_reached() {
     // Guards against a target that started anew and gets all requests at once, because the store
