Targets of a zone that was taken back are cold, whenever they or the configuration become known

Cause: the targets known at that moment were marked cold, once, and none if no configuration was known. Targets that came later, and routers that were starting, knew nothing of it.

--- a/src/gateway/orders.rs
+++ b/src/gateway/orders.rs
@@ -1,5 +1,7 @@
 //! The operator's orders to empty availability zones, as far as they are known here. No I/O.
 
+use std::time::Duration;
+
 use compact_str::CompactString;
 use serde::{Deserialize, Serialize};
 use tokio::time::Instant;
@@ -68,6 +70,12 @@
         self.find(zone).is_ok_and(|i| self.known[i].order.emptied)
     }
 
+    /// How long ago a zone was taken back, as far as this router heard.
+    pub fn taken_back_for(&self, zone: &str, now: Instant) -> Option<Duration> {
+        let known = &self.known[self.find(zone).ok()?];
+        (!known.order.emptied).then(|| now.saturating_duration_since(known.heard))
+    }
+
     /// The orders that were heard after `since`.
     pub fn heard_after(&self, since: Instant) -> Vec<ZoneOrder> {
         self.known.iter().filter(|k| k.heard > since).map(|k| k.order.clone()).collect()
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -10,7 +10,6 @@
 use super::hints;
 use super::request::Part;
 use super::state::{Gateway, Platform};
-use super::sync::apply_orders;
 use super::timing::Reading;
 
 /// Sends what the keeper of budgets has to say, for ever.
@@ -43,10 +42,7 @@
             Some((Topic::Hints, payload)) => take_hints(&gw, payload),
             Some((Topic::Budgets, payload)) => gw.keeper.heard(from, payload),
             Some((Topic::Crashes, payload)) => gw.crashes.heard(payload, gw.keeper.store_now()),
-            Some((Topic::Orders, payload)) => {
-                let changed = gw.zones.take(&gw.zones.parse(payload), "peer");
-                apply_orders(&gw, &changed);
-            }
+            Some((Topic::Orders, payload)) => gw.zones.take(&gw.zones.parse(payload), "peer"),
             Some((Topic::Cold, payload)) => gw.cold.heard(from, payload, |w| cold_target(&gw, w)),
             None => gw.log.note("peer", format_args!("from={from} bytes={n} error=unknown_topic")),
         }
--- a/src/gateway/send.rs
+++ b/src/gateway/send.rs
@@ -111,7 +111,14 @@
                     .log
                     .note("target", format_args!("target={id} cold_ms={ms} cause=reached_again"));
             }
-            if backend.is_cold(Instant::now()) {
+            // Targets may have become cold while their zone was emptied, and their entries say so
+            // only later. Looked up here, not when the order is heard: by then neither the target
+            // nor the configuration need be known.
+            let now = Instant::now();
+            if let Some(since) = self.gw.zones.taken_back_for(&zone, now) {
+                backend.cool(warm_up.lasts.saturating_sub(since));
+            }
+            if backend.is_cold(now) {
                 let pace = Pace::of(warm_up, self.gw.settings.cold);
                 if let Err(room_in) = self.gw.cold.admit(&id, &zone, pace).await {
                     backend.has_no_room(room_in);
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -163,7 +163,7 @@
         let stats = Stats::new();
         Rc::new(Gateway {
             crashes: Crashes::new(log.clone(), stats.clone()),
-            zones: Zones::new(log.clone()),
+            zones: Zones::new(log.clone(), stats.clone()),
             cold: Admissions::new(settings.instance.clone(), log.clone(), stats.clone()),
             reader: Reader::new(platform.clone(), keeper.clone(), log.clone(), stats.clone()),
             keeper,
--- a/src/gateway/sync.rs
+++ b/src/gateway/sync.rs
@@ -107,26 +107,15 @@
         Some(ZoneOrder { zone, ver: r.ver, emptied: r.value.is_some() })
     };
     let orders: Vec<ZoneOrder> = page.rows.iter().filter_map(order).collect();
-    let changed = if whole {
-        gw.zones.take_whole(&orders, page.ver)
+    if whole {
+        gw.zones.take_whole(&orders, page.ver);
     } else {
-        gw.zones.take(&orders, "store")
-    };
-    apply_orders(gw, &changed);
+        gw.zones.take(&orders, "store");
+    }
     let (_, key) = gw.platform.config_row();
     page.rows.iter().filter(|r| r.at.key == key).for_each(|r| apply_config(gw, r));
 }
 
-/// Targets of a zone that is taken back may have become cold, and their entries say so only later.
-pub fn apply_orders<P: Platform>(gw: &Gateway<P>, changed: &[ZoneOrder]) {
-    gw.stats.zones_emptied.set(i64::try_from(gw.zones.emptied().len()).unwrap_or(i64::MAX));
-    let Some(config) = gw.config() else { return };
-    let lasts = |service: &str| config.warm_up(service).map_or(Duration::ZERO, |w| w.lasts);
-    for order in changed.iter().filter(|o| !o.emptied) {
-        gw.targets.cool_zone(&order.zone, lasts);
-    }
-}
-
 /// Follows the configuration for ever.
 pub async fn follow_config<P: Platform>(gw: Rc<Gateway<P>>) {
     let (table, _) = gw.platform.config_row();
--- a/src/gateway/targets.rs
+++ b/src/gateway/targets.rs
@@ -157,14 +157,6 @@
         load.cache.read(parts, now, cache_tokens(&b.info.borrow().service));
     }
 
-    /// A zone's targets may have become cold; `lasts` tells for how long those of a service are.
-    pub fn cool_zone(&self, zone: &str, lasts: impl Fn(&str) -> Duration) {
-        let all = self.all.borrow();
-        for b in all.iter().filter(|b| b.info.borrow().zone == zone) {
-            b.cool(lasts(&b.info.borrow().service));
-        }
-    }
-
     /// How many targets are cold.
     pub fn count_cold(&self) -> usize {
         let now = Instant::now();
--- a/src/gateway/zones.rs
+++ b/src/gateway/zones.rs
@@ -14,6 +14,8 @@
 use super::datagram::Topic;
 use super::orders::{ZoneOrder, ZoneOrders};
 use crate::oplog::Log;
+use crate::rows::Ver;
+use crate::stats::Stats;
 
 /// Routers that are told at a time, drawn anew each time.
 const FANOUT: usize = 6;
@@ -33,6 +35,7 @@
 #[derive(Debug)]
 pub struct Zones {
     log: Log,
+    stats: Stats,
     orders: RefCell<ZoneOrders>,
     emptied: RefCell<Vec<CompactString>>,
     peers: RefCell<Vec<SocketAddr>>,
@@ -41,9 +44,10 @@
 
 impl Zones {
     /// No zone emptied, as far as is known.
-    pub fn new(log: Log) -> Zones {
+    pub fn new(log: Log, stats: Stats) -> Zones {
         Zones {
             log,
+            stats,
             orders: RefCell::default(),
             emptied: RefCell::default(),
             peers: RefCell::default(),
@@ -66,17 +70,21 @@
         self.orders.borrow().is_emptied(zone)
     }
 
-    /// Takes in the orders in a reading of the whole table. Returns those that change anything.
-    pub fn take_whole(&self, orders: &[ZoneOrder], ver: crate::rows::Ver) -> Vec<ZoneOrder> {
+    /// How long ago a zone was taken back, as far as this router heard.
+    pub fn taken_back_for(&self, zone: &str, now: Instant) -> Option<Duration> {
+        self.orders.borrow().taken_back_for(zone, now)
+    }
+
+    /// Takes in the orders in a reading of the whole table.
+    pub fn take_whole(&self, orders: &[ZoneOrder], ver: Ver) {
         let listed: Vec<CompactString> = orders.iter().map(|o| o.zone.clone()).collect();
         let gone = self.orders.borrow().unlisted(&listed, ver);
         let all: Vec<ZoneOrder> = orders.iter().cloned().chain(gone).collect();
-        self.take(&all, "store")
+        self.take(&all, "store");
     }
 
-    /// Takes in orders that were heard `via` the store or a peer. Returns those that change
-    /// anything.
-    pub fn take(&self, orders: &[ZoneOrder], via: &'static str) -> Vec<ZoneOrder> {
+    /// Takes in orders that were heard `via` the store or a peer.
+    pub fn take(&self, orders: &[ZoneOrder], via: &'static str) {
         let now = Instant::now();
         let mut known = self.orders.borrow_mut();
         let changed: Vec<ZoneOrder> =
@@ -90,9 +98,9 @@
         }
         if !changed.is_empty() {
             *self.emptied.borrow_mut() = known.emptied();
+            self.stats.zones_emptied.set(i64::try_from(known.emptied().len()).unwrap_or(i64::MAX));
             self.heard.notify_one();
         }
-        changed
     }
 
     /// The orders in a datagram; none if it cannot be read.
