A router that knows no other yet hears orders from any

What was seen: 23 requests reached a zone 5.1 s and later after it had been emptied (soak). Its logs: router-1's store fell silent 1.8 s after its start, before its first reading of the routers' table, so it read no datagram of the others, who told it six times; it learnt of the order from the store 5.5 s after it was given. The rule allows this, as the router had no path to the store in the seconds before; a caller gains nothing from that.

Only orders, and only while no router is known: their version comes from the store, and whatever is older changes nothing. Other topics stay closed to unknown senders. may_hear_before_routers_are_known.

--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -10,7 +10,7 @@
 pub mod catalog;
 pub mod cold;
 pub mod crashes;
-mod datagram;
+pub mod datagram;
 pub mod drain;
 pub mod entry;
 mod feed;
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -1,5 +1,6 @@
 //! What routers tell one another: received here, and handed to the part that it is for.
 
+use std::net::IpAddr;
 use std::rc::Rc;
 
 use compact_str::CompactString;
@@ -35,10 +36,11 @@
                 continue;
             }
         };
-        if gw.peers.borrow().binary_search(&from.ip()).is_err() {
+        let topic = Topic::parse(&buf[..n]);
+        if !may_hear(&gw.peers.borrow(), from.ip(), topic.map(|(t, _)| t)) {
             continue;
         }
-        match Topic::parse(&buf[..n]) {
+        match topic {
             Some((Topic::Hints, payload)) => take_hints(&gw, payload),
             Some((Topic::Budgets, payload)) => gw.keeper.heard(from, payload),
             Some((Topic::Crashes, payload)) => gw.crashes.heard(payload, gw.keeper.store_now()),
@@ -49,6 +51,14 @@
     }
 }
 
+/// Whether to take in a datagram. Those of unknown senders are not read, but for orders while no
+/// router is known yet: one whose store falls silent right after its start has the configuration
+/// and nobody else to hear an order from.
+pub fn may_hear(known: &[IpAddr], from: IpAddr, topic: Option<Topic>) -> bool {
+    let none_known = known.is_empty() && topic == Some(Topic::Orders);
+    none_known || known.binary_search(&from).is_ok()
+}
+
 /// The id, zone and pace of a target that another router asks about.
 fn cold_target<P: Platform>(
     gw: &Gateway<P>,
--- a/tests/test_gateway_orders.rs
+++ b/tests/test_gateway_orders.rs
@@ -1,8 +1,11 @@
 //! Zones that the operator empties and takes back.
 
+use std::net::IpAddr;
 use std::time::Duration;
 
+use kingcupwall::gateway::datagram::Topic;
 use kingcupwall::gateway::orders::{ZoneOrder, ZoneOrders};
+use kingcupwall::gateway::peers::may_hear;
 use kingcupwall::gateway::reach::{Barred, Reach, ZoneRegions};
 use kingcupwall::rows::{Fault, Ver};
 use kingcupwall::standin::gateway::{LocalPlatform, parts};
@@ -260,3 +263,20 @@
         assert_eq!(fleet.send(0, "started").await, (0, 8));
     });
 }
+
+#[rstest]
+#[case::known(&["127.0.0.2"], "127.0.0.2", Topic::Hints, true)]
+#[case::unknown(&["127.0.0.2"], "127.0.0.3", Topic::Orders, false)]
+#[case::order_before_any_is_known(&[], "127.0.0.3", Topic::Orders, true)]
+#[case::hint_before_any_is_known(&[], "127.0.0.3", Topic::Hints, false)]
+fn may_hear_before_routers_are_known(
+    #[case] known: &[&str],
+    #[case] from: &str,
+    #[case] topic: Topic,
+    #[case] expected: bool,
+) {
+    // Guards against a router that goes on sending into an emptied zone because its store fell
+    // silent before it had read who the others are.
+    let known: Vec<IpAddr> = known.iter().map(|a| a.parse().unwrap()).collect();
+    assert_eq!(may_hear(&known, from.parse().unwrap(), Some(topic)), expected);
+}
