What targets say of themselves in answers is read and logged

The logs could not tell whether a target's word that it leaves, or its Retry-After, was never read or was forgotten: no line showed it. Every answer of a target is now read for both, at the one place that reads heads, and event=notice and target_notices_total tell it. Nothing is decided by it yet. A 421 comes from whoever has the address now and says nothing of the target that was asked; a date counts against the answer's own Date, whose clock it is of.

Stand-in targets can say both, and close a connection a moment after they announced it.

--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -21,6 +21,7 @@
 pub mod liveness;
 mod load;
 pub mod members;
+pub mod notice;
 pub mod orders;
 pub mod outcome;
 pub mod peers;
--- /dev/null
+++ b/src/gateway/notice.rs
@@ -0,0 +1,60 @@
+//! What a target says of itself in its answers. No I/O.
+
+use std::time::{Duration, SystemTime};
+
+use super::request::Names;
+use crate::http1::{ResponseHead, header};
+
+/// The longest delay that is kept to; a target that states more has most likely a fault.
+const MAX_DELAY: Duration = Duration::from_secs(24 * 60 * 60);
+
+/// What an answer says of the target that gave it, apart from the request.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Notice {
+    /// The target is about to stop.
+    pub leaving: bool,
+    /// It turned the request away, and says when it wants the next one.
+    pub retry_after: Option<RetryAfter>,
+}
+
+/// What a `Retry-After` says.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum RetryAfter {
+    /// No request until so long from now.
+    Delay(Duration),
+    /// It cannot be read.
+    Unreadable,
+}
+
+impl Notice {
+    /// Reads what a head says. A 421 comes from another target, which has the address now: it says
+    /// nothing of the one that was asked.
+    pub fn read(names: &Names, head: &ResponseHead) -> Notice {
+        let stated = |name: &str| header(&head.headers, name);
+        match head.status {
+            421 => Notice::default(),
+            status => Notice {
+                leaving: stated(&names.leaving).is_some(),
+                retry_after: stated("retry-after")
+                    .filter(|_| matches!(status, 429 | 503))
+                    .map(|after| retry_after(after.trim(), stated("date"))),
+            },
+        }
+    }
+}
+
+/// Reads a `Retry-After`: seconds, with or without a fraction, or a date. A date is compared with
+/// the answer's own, which is of the same clock; this instance's clock may differ.
+fn retry_after(after: &str, date: Option<&str>) -> RetryAfter {
+    let seconds = after.parse().ok().and_then(|s| match s {
+        s if s >= 0.0 => Some(Duration::try_from_secs_f64(s).unwrap_or(MAX_DELAY)),
+        _ => None,
+    });
+    let until = || {
+        let parse = |text: &str| httpdate::parse_http_date(text.trim()).ok();
+        let (until, now): (SystemTime, SystemTime) = (parse(after)?, parse(date?)?);
+        Some(until.duration_since(now).unwrap_or_default())
+    };
+    let delay = seconds.or_else(until);
+    delay.map_or(RetryAfter::Unreadable, |d| RetryAfter::Delay(d.min(MAX_DELAY)))
+}
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -40,6 +40,8 @@
     pub expect_target: CompactString,
     /// A target's proof that it did not run the request.
     pub not_run: CompactString,
+    /// A target's word that it is about to stop.
+    pub leaving: CompactString,
     /// Headers that only routers and targets set; dropped when a caller sends them.
     pub reserved: Vec<CompactString>,
 }
--- a/src/gateway/send.rs
+++ b/src/gateway/send.rs
@@ -9,11 +9,13 @@
 use super::backend::{Backend, Flight, Planned};
 use super::cold::Pace;
 use super::forward::Job;
+use super::notice::Notice;
 use super::outcome::Ended;
 use super::pool::{Link, dial};
 use super::reply::{Reply, Rest, StreamState};
 use super::request::{Additions, Names, encode};
 use super::state::Platform;
+use super::stats::noticed;
 use crate::http1::{Conn, Decoder, HeadError, ResponseHead, header};
 use crate::ids::Tokens;
 
@@ -178,6 +180,7 @@
                 );
                 Ended::NoAnswer
             })?;
+            self.hear(&head);
             let echoed = header(&head.headers, &names.request_id);
             let is_ours = echoed == Some(self.facts.id.as_str());
             let fresh = !link.used && echoed.is_none();
@@ -206,6 +209,23 @@
         Err(Ended::NoAnswer)
     }
 
+    /// Takes in what an answer says of the target that gave it, whichever request it belongs to.
+    fn hear(&self, head: &ResponseHead) {
+        let notice = Notice::read(self.names(), head);
+        let Some(backend) = self.at.as_ref().filter(|_| notice != Notice::default()) else {
+            return;
+        };
+        noticed(&self.gw.stats, notice);
+        let (id, target, status) = (&self.facts.id, backend.id(), head.status);
+        let Notice { leaving, retry_after } = notice;
+        self.gw.log.note(
+            "notice",
+            format_args!(
+                "target={target} id={id} status={status} leaving={leaving} retry_after={retry_after:?}"
+            ),
+        );
+    }
+
     async fn read_start(
         &mut self,
         conn: Conn,
--- a/src/gateway/stats.rs
+++ b/src/gateway/stats.rs
@@ -1,5 +1,6 @@
 //! Short cuts from outcomes to figures.
 
+use super::notice::{Notice, RetryAfter};
 use super::outcome::Ended;
 use crate::stats::{EndLabels, Reason, Stats};
 
@@ -22,3 +23,18 @@
     };
     stats.sends.get_or_create(&Reason { reason }).inc();
 }
+
+/// Counts what an answer says of its target.
+pub fn noticed(stats: &Stats, notice: Notice) {
+    let count = |reason| {
+        stats.notices.get_or_create(&Reason { reason }).inc();
+    };
+    if notice.leaving {
+        count("leaving");
+    }
+    match notice.retry_after {
+        Some(RetryAfter::Delay(_)) => count("retry_after"),
+        Some(RetryAfter::Unreadable) => count("unreadable"),
+        None => (),
+    }
+}
--- a/src/standin/gateway.rs
+++ b/src/standin/gateway.rs
@@ -35,6 +35,8 @@
 /// See [`REQUEST_ID`].
 pub const NOT_RUN: &str = "Not-Run";
 /// See [`REQUEST_ID`].
+pub const LEAVING: &str = "Leaving";
+/// See [`REQUEST_ID`].
 pub const TOKEN_COUNTS: &str = "Tokens";
 /// See [`REQUEST_ID`].
 pub const LAST_EVENT: &str = "Last-Event-Id";
@@ -50,6 +52,7 @@
         organisation: ORGANISATION.into(),
         expect_target: EXPECT_TARGET.into(),
         not_run: NOT_RUN.into(),
+        leaving: LEAVING.into(),
         reserved: vec![ORGANISATION.into(), EXPECT_TARGET.into(), NOT_RUN.into(), SEAL.into()],
     }
 }
--- a/src/standin/gateway_target.rs
+++ b/src/standin/gateway_target.rs
@@ -24,6 +24,8 @@
 const MAX_REQUEST: u64 = 1024 * 1024;
 /// The body of a request that ends any target which runs it.
 pub const FATAL_BODY: &[u8] = b"fatal";
+/// How long after it announced the end of a connection a stand-in closes it.
+const CLOSES_AFTER: Duration = Duration::from_millis(100);
 /// Tokens in one event of a stand-in's stream.
 pub const TOKENS_PER_EVENT: u64 = 2;
 
@@ -32,6 +34,10 @@
 pub enum TargetFault {
     /// Says that it is full; does not run it.
     Full,
+    /// The same, with this `Retry-After`.
+    FullUntil(&'static str),
+    /// The same as `Full`, and announces the end of the connection, which it closes a moment later.
+    FullAndCloses,
     /// Says that another target has the address; does not run it.
     OtherTarget,
     /// Runs it and answers with a failure.
@@ -97,6 +103,9 @@
     closed_early: u64,
     event_gap: Duration,
     ended: watch::Sender<bool>,
+    says_leaving: bool,
+    /// When requests arrived, run or not, but for those meant for another target.
+    arrivals: Vec<Instant>,
 }
 
 /// A target on a port of its own.
@@ -185,6 +194,16 @@
         self.shared.borrow().cold.seen
     }
 
+    /// All its answers say that it leaves, or not any more.
+    pub fn set_says_leaving(&self, leaving: bool) {
+        self.shared.borrow_mut().says_leaving = leaving;
+    }
+
+    /// When requests arrived, whether it ran them or not, but for those meant for another target.
+    pub fn arrivals(&self) -> Vec<Instant> {
+        self.shared.borrow().arrivals.clone()
+    }
+
     /// The requests that it ran.
     pub fn runs(&self) -> Vec<Seen> {
         self.shared.borrow().runs.clone()
@@ -253,9 +272,18 @@
         if fault == Some(TargetFault::OtherTarget) || expected != Some(self.id.as_str()) {
             return write(conn, &self.short(421, &id, "", "")).await;
         }
-        if fault == Some(TargetFault::Full) {
-            return write(conn, &self.short(503, &id, &format!("{}: 1\r\n", names.not_run), ""))
-                .await;
+        self.shared.borrow_mut().arrivals.push(Instant::now());
+        match fault {
+            Some(TargetFault::Full) => return self.turn_away(conn, &id, "").await,
+            Some(TargetFault::FullUntil(after)) => {
+                return self.turn_away(conn, &id, &format!("Retry-After: {after}\r\n")).await;
+            }
+            Some(TargetFault::FullAndCloses) => {
+                self.turn_away(conn, &id, "Connection: close\r\n").await;
+                tokio::time::sleep(CLOSES_AFTER).await;
+                return false;
+            }
+            _ => (),
         }
         if !self.shared.borrow_mut().cold.bears(Instant::now()) {
             self.end();
@@ -319,9 +347,10 @@
         let last = header(&head.headers, &names.last_event_id);
         let from: u64 = last.and_then(|v| v.parse().ok()).unwrap_or(0);
         let start = format!(
-            "HTTP/1.1 200 OK\r\n{}: {id}\r\n{seal}Content-Type: text/event-stream\r\n\
+            "HTTP/1.1 200 OK\r\n{}: {id}\r\n{seal}{}Content-Type: text/event-stream\r\n\
              Transfer-Encoding: chunked\r\n\r\n",
-            names.request_id
+            names.request_id,
+            self.leaving()
         );
         if !write(conn, start.as_bytes()).await {
             return false;
@@ -347,10 +376,22 @@
         write(conn, b"0\r\n\r\n").await
     }
 
+    /// Answers that it did not run the request, with more headers.
+    async fn turn_away(&self, conn: &mut Conn, id: &str, headers: &str) -> bool {
+        let headers = format!("{}: 1\r\n{headers}", self.names.headers.not_run);
+        write(conn, &self.short(503, id, &headers, "")).await
+    }
+
+    /// The header that says that it leaves, if it does.
+    fn leaving(&self) -> String {
+        let leaving = self.shared.borrow().says_leaving;
+        if leaving { format!("{}: 1\r\n", self.names.headers.leaving) } else { String::new() }
+    }
+
     fn short(&self, status: u16, id: &str, headers: &str, body: &str) -> Vec<u8> {
-        let (name, len) = (&self.names.headers.request_id, body.len());
+        let (name, len, leaving) = (&self.names.headers.request_id, body.len(), self.leaving());
         format!(
-            "HTTP/1.1 {status} Stated\r\n{name}: {id}\r\n{headers}Content-Length: {len}\r\n\r\n{body}"
+            "HTTP/1.1 {status} Stated\r\n{name}: {id}\r\n{headers}{leaving}Content-Length: {len}\r\n\r\n{body}"
         )
         .into_bytes()
     }
--- a/src/stats.rs
+++ b/src/stats.rs
@@ -47,6 +47,8 @@
     pub store_bytes: Family<Reason, Counter>,
     /// Requests to cold targets, by whether there was room.
     pub cold: Family<Reason, Counter>,
+    /// What targets said of themselves in answers.
+    pub notices: Family<Reason, Counter>,
     /// Targets that are cold.
     pub targets_cold: Gauge,
     /// Zones that the operator has emptied.
@@ -108,6 +110,8 @@
         );
         let cold = Family::default();
         registry.register("cold_admissions", "Requests to cold targets", cold.clone());
+        let notices = Family::default();
+        registry.register("target_notices", "What targets say of themselves", notices.clone());
         let targets_cold = Gauge::default();
         registry.register("targets_cold", "Targets that are cold", targets_cold.clone());
         let zones_emptied = Gauge::default();
@@ -142,6 +146,7 @@
             accepted,
             store_bytes,
             cold,
+            notices,
             targets_cold,
             zones_emptied,
             first_event,
--- a/tests/tests.rs
+++ b/tests/tests.rs
@@ -24,6 +24,7 @@
 mod test_gateway_decisions;
 mod test_gateway_fatal;
 mod test_gateway_homes;
+mod test_gateway_notices;
 mod test_gateway_orders;
 mod test_gateway_quarantine;
 mod test_gateway_targets;
