A connection is not used again after a refusal that announced its end

What callers saw: 502 for a request that nobody ran, sent on a connection that its target had already announced to close. Cause: after an answer that is handed on, a connection is kept as the answer says; after a refusal it went back whatever the refusal said, for 4 s. Now both paths take the time from the head, and a connection that was taken and not used keeps the time that it had, where it was given 4 s anew.

--- a/src/gateway/liveness.rs
+++ b/src/gateway/liveness.rs
@@ -70,7 +70,7 @@
             Ok(link) => {
                 self.lives();
                 *reached = Some(began);
-                pool.borrow_mut().put_new(link.conn);
+                link.put_back(&mut pool.borrow_mut());
             }
             Err(e) => self.unreached(&e),
         }
--- a/src/gateway/pool.rs
+++ b/src/gateway/pool.rs
@@ -28,19 +28,41 @@
     pub conn: Conn,
     /// Whether it has carried a request before.
     pub used: bool,
+    /// Until when it may be kept; absent once it can carry no other request.
+    until: Option<Instant>,
 }
 
 impl Link {
+    /// Skips the body of an answer that is not handed on. The connection is used again only if the
+    /// answer allows it and its body is whole.
+    pub async fn skip(&mut self, answer: ResponseHead) {
+        self.until = keep_until(&answer);
+        let mut body = answer.body;
+        while self.until.is_some() {
+            match self.conn.read_piece(&mut body).await {
+                Ok(Some(_)) => (),
+                Ok(None) => return,
+                Err(_) => self.until = None,
+            }
+        }
+    }
+
     /// Keeps the connection, on which the target has proved that it did not run a request, or got
     /// none.
     pub fn put_back(self, pool: &mut Pool) {
-        let mut conn = self.conn;
-        if pool.idle.len() < MAX_IDLE && conn.is_quiet() {
-            pool.idle.push(Idle { conn, until: Instant::now() + KEEP_DEFAULT });
+        if let Some(until) = self.until {
+            pool.keep(self.conn, until);
         }
     }
 }
 
+/// Until when a connection may be kept after an answer; none if the answer was its last.
+fn keep_until(answer: &ResponseHead) -> Option<Instant> {
+    let stated = keep_alive_seconds(&answer.headers).map(Duration::from_secs);
+    let keep = stated.map_or(KEEP_DEFAULT, |s| s.mul_f64(KEEP_USED).min(KEEP_DEFAULT));
+    answer.keep.then(|| Instant::now() + keep)
+}
+
 #[derive(Debug)]
 struct Idle {
     conn: Conn,
@@ -60,26 +82,22 @@
         self.idle.retain(|i| i.until > now);
         while let Some(mut idle) = self.idle.pop() {
             if idle.conn.is_quiet() {
-                return Some(Link { conn: idle.conn, used: true });
+                return Some(Link { conn: idle.conn, used: true, until: Some(idle.until) });
             }
         }
         None
     }
 
     /// Keeps a connection whose last answer was whole, if that answer allows it.
-    pub fn put(&mut self, mut conn: Conn, answer: &ResponseHead) {
-        if !answer.keep || self.idle.len() >= MAX_IDLE || !conn.is_quiet() {
-            return;
+    pub fn put(&mut self, conn: Conn, answer: &ResponseHead) {
+        if let Some(until) = keep_until(answer) {
+            self.keep(conn, until);
         }
-        let stated = keep_alive_seconds(&answer.headers).map(Duration::from_secs);
-        let keep = stated.map_or(KEEP_DEFAULT, |s| s.mul_f64(KEEP_USED).min(KEEP_DEFAULT));
-        self.idle.push(Idle { conn, until: Instant::now() + keep });
     }
 
-    /// Keeps a connection that has carried nothing yet.
-    pub fn put_new(&mut self, conn: Conn) {
-        if self.idle.len() < MAX_IDLE {
-            self.idle.push(Idle { conn, until: Instant::now() + KEEP_DEFAULT });
+    fn keep(&mut self, mut conn: Conn, until: Instant) {
+        if self.idle.len() < MAX_IDLE && conn.is_quiet() {
+            self.idle.push(Idle { conn, until });
         }
     }
 
@@ -95,5 +113,5 @@
 /// Those of connecting; nothing was sent.
 pub async fn dial(addr: SocketAddr) -> std::io::Result<Link> {
     let conn = timeout(CONNECT, Conn::dial(addr, SILENCE)).await??;
-    Ok(Link { conn, used: false })
+    Ok(Link { conn, used: false, until: Some(Instant::now() + KEEP_DEFAULT) })
 }
--- a/src/gateway/send.rs
+++ b/src/gateway/send.rs
@@ -186,11 +186,7 @@
             let fresh = !link.used && echoed.is_none();
             if is_ours || fresh {
                 if let Some(ended) = not_run(names, &head) {
-                    let mut body = head.body;
-                    // The connection is used again only if this body is whole.
-                    if head.keep && !body.ends_with_connection() {
-                        while let Ok(Some(_)) = link.conn.read_piece(&mut body).await {}
-                    }
+                    link.skip(head).await;
                     return Err(ended);
                 }
                 return if is_ours { Ok(head) } else { Err(Ended::NoAnswer) };
