A target that says in an answer that it leaves gets nothing new

What callers saw: requests went on to a target for up to 12 s after it had told the router that it leaves (24 requests in the incident, two of them 2.4 s after the word, 2 s are allowed). Whoever was still there when it stopped lost the answer.

Cause: a router knew of leaving only from the target's entry in the store. While the store is away, turns this router away or is merely late, the entry says ready. What the target itself says in every answer was read by nobody. Ruled out: requests on their way (chosen, sent and answered within 25 ms, 2.4 s after), an entry taken anew (no line in any log).

Now what a target says of itself is kept beside its entry, which never undoes it: not renewed, not of another writer, not gone and back (the word outlives the entry, for 1,024 targets). A later start under the same id does. The choice of a target and the last look before a request leaves both ask for it, so first sends, retries and streams that go on elsewhere are covered alike.

Each router acts on what it hears itself: the others hear it with their next answer, and no datagram of one router takes a target from all.

--- a/src/gateway/backend.rs
+++ b/src/gateway/backend.rs
@@ -11,6 +11,7 @@
 
 use super::liveness::Life;
 use super::load::Load;
+use super::notice::Standing;
 use super::pool::Pool;
 use super::quarantine::Incarnation;
 use super::request::Part;
@@ -75,6 +76,8 @@
     pub pool: RefCell<Pool>,
     /// Whether its process has ended.
     pub life: Life,
+    /// What it says of itself.
+    pub standing: Standing,
     pub(super) load: RefCell<Load>,
     /// What is learnt of its service's engines.
     pub(super) timing: Rc<RefCell<FirstToken>>,
@@ -88,13 +91,30 @@
     pub(super) no_room_until: Cell<Option<Instant>>,
 }
 
+impl TargetInfo {
+    /// Whether this entry is of an earlier start than `known`; not if either does not say.
+    pub fn is_older(&self, known: Option<StartedMs>) -> bool {
+        known.zip(self.born).is_some_and(|(known, new)| new < known)
+    }
+
+    /// Whether this entry is of a later start than `known`; not if either does not say.
+    pub fn is_newer(&self, known: Option<StartedMs>) -> bool {
+        known.zip(self.born).is_some_and(|(known, new)| new > known)
+    }
+}
+
 impl Backend {
-    pub(super) fn new(info: TargetInfo, timing: Rc<RefCell<FirstToken>>) -> Backend {
+    pub(super) fn new(
+        info: TargetInfo,
+        standing: Standing,
+        timing: Rc<RefCell<FirstToken>>,
+    ) -> Backend {
         let backend = Backend {
             word: target_word(&info.id),
             info: RefCell::new(info),
             pool: RefCell::default(),
             life: Life::default(),
+            standing,
             load: RefCell::new(Load::new(Instant::now())),
             timing,
             lapsed: Cell::new(false),
@@ -146,9 +166,10 @@
         self.life.find_ended(self.addr(), &self.pool).await
     }
 
-    /// Whether nothing says that it leaves. An entry that the store lost says nothing.
+    /// Whether neither its entry nor the target itself says that it leaves. An entry that the store
+    /// lost says nothing.
     pub fn is_expected_to_stay(&self) -> bool {
-        self.info.borrow().state == TargetState::Ready
+        self.info.borrow().state == TargetState::Ready && !self.standing.is_leaving()
     }
 
     /// A request got an answer.
--- a/src/gateway/notice.rs
+++ b/src/gateway/notice.rs
@@ -1,5 +1,9 @@
 //! What a target says of itself in its answers. No I/O.
+//!
+//! An answer is newer than the target's entry in the store, and comes while the store is away. So
+//! what it says is kept apart from the entry, which does not undo it.
 
+use std::cell::Cell;
 use std::time::{Duration, SystemTime};
 
 use super::request::Names;
@@ -58,3 +62,21 @@
     let delay = seconds.or_else(until);
     delay.map_or(RetryAfter::Unreadable, |d| RetryAfter::Delay(d.min(MAX_DELAY)))
 }
+
+/// What a target has said of itself since its start.
+#[derive(Clone, Debug, Default)]
+pub struct Standing {
+    leaving: Cell<bool>,
+}
+
+impl Standing {
+    /// Takes in what an answer says. Returns whether that is new.
+    pub fn take(&self, notice: Notice) -> bool {
+        notice.leaving && !self.leaving.replace(true)
+    }
+
+    /// Whether it has said that it leaves.
+    pub fn is_leaving(&self) -> bool {
+        self.leaving.get()
+    }
+}
--- a/src/gateway/outcome.rs
+++ b/src/gateway/outcome.rs
@@ -7,8 +7,8 @@
 pub enum Ended {
     /// No byte of the request left.
     NotSent,
-    /// No byte of the request left: the target is cold and has no room for it, or its zone was
-    /// emptied a moment ago.
+    /// No byte of the request left: the target is cold and has no room for it, or a moment ago its
+    /// zone was emptied or it was heard to leave.
     HeldOff,
     /// The target proved that it did not run the request.
     NotRun,
--- a/src/gateway/send.rs
+++ b/src/gateway/send.rs
@@ -128,7 +128,7 @@
                 }
             }
         }
-        if self.gw.zones.is_emptied(&zone) {
+        if self.gw.zones.is_emptied(&zone) || !backend.is_expected_to_stay() {
             return Err(Ended::HeldOff);
         }
         Ok(())
@@ -212,6 +212,9 @@
             return;
         };
         noticed(&self.gw.stats, notice);
+        if !backend.standing.take(notice) && notice.retry_after.is_none() {
+            return;
+        }
         let (id, target, status) = (&self.facts.id, backend.id(), head.status);
         let Notice { leaving, retry_after } = notice;
         self.gw.log.note(
--- a/src/gateway/sync.rs
+++ b/src/gateway/sync.rs
@@ -196,7 +196,9 @@
 pub async fn sweep_targets<P: Platform>(gw: Rc<Gateway<P>>) {
     loop {
         sleep(LAPSE_GRACE / 4).await;
-        gw.stats.targets_cold.set(i64::try_from(gw.targets.count_cold()).unwrap_or(i64::MAX));
+        let count = |n: usize| i64::try_from(n).unwrap_or(i64::MAX);
+        gw.stats.targets_cold.set(count(gw.targets.count_cold()));
+        gw.stats.targets_leaving.set(count(gw.targets.count_leaving()));
         let link = gw.reader.link();
         if link.away || may_return(&gw) {
             continue;
--- a/src/gateway/targets.rs
+++ b/src/gateway/targets.rs
@@ -1,13 +1,15 @@
 //! All targets that this router knows, and those that could take a request.
 
 use std::cell::RefCell;
+use std::collections::VecDeque;
 use std::rc::Rc;
 use std::time::Duration;
 
 use compact_str::CompactString;
 use tokio::time::Instant;
 
-use super::backend::{Backend, TargetInfo, TargetState, millis};
+use super::backend::{Backend, StartedMs, TargetInfo, TargetState, millis};
+use super::notice::Standing;
 use super::place::Candidate;
 use super::reach::{Barred, Reach};
 use super::request::Part;
@@ -29,10 +31,24 @@
     Outdated,
 }
 
+/// Targets without an entry whose word is kept, at most. An entry that comes back may be older than
+/// what its target said.
+const MAX_PARTED: usize = 1_024;
+
+/// A target without an entry.
+#[derive(Debug)]
+struct Parted {
+    id: CompactString,
+    born: Option<StartedMs>,
+    standing: Standing,
+}
+
 /// All targets, by id.
 #[derive(Debug, Default)]
 pub struct Targets {
     all: RefCell<Vec<Rc<Backend>>>,
+    /// The latest at the end.
+    parted: RefCell<VecDeque<Parted>>,
     timings: RefCell<Vec<(CompactString, Rc<RefCell<FirstToken>>)>>,
 }
 
@@ -75,19 +91,20 @@
         let i = match all.binary_search_by(|b| b.info.borrow().id.cmp(&info.id)) {
             Ok(i) => i,
             Err(i) => {
-                let timing = self.timing(&info.service);
-                all.insert(i, Rc::new(Backend::new(info, timing)));
+                let standing = self.rejoin(&info);
+                all.insert(i, self.backend(info, standing));
                 return Change::New;
             }
         };
         let known = all[i].info.borrow().clone();
-        if known.born.zip(info.born).is_some_and(|(known, new)| new < known) {
+        if info.is_older(known.born) {
             return Change::Outdated;
         }
-        let restarted = known.born.zip(info.born).is_some_and(|(known, new)| new > known);
+        let restarted = info.is_newer(known.born);
         if restarted || known.service != info.service || known.addr != info.addr {
-            let timing = self.timing(&info.service);
-            all[i] = Rc::new(Backend::new(info, timing));
+            // An entry that only speaks of another address does not undo what its target said.
+            let standing = if restarted { Standing::default() } else { all[i].standing.clone() };
+            all[i] = self.backend(info, standing);
             return Change::Restarted;
         }
         info.born = info.born.or(known.born);
@@ -98,6 +115,32 @@
         if changed { Change::State } else { Change::Same }
     }
 
+    fn backend(&self, info: TargetInfo, standing: Standing) -> Rc<Backend> {
+        let timing = self.timing(&info.service);
+        Rc::new(Backend::new(info, standing, timing))
+    }
+
+    /// Keeps what a target said whose entry is gone.
+    fn part(&self, b: &Backend) {
+        if !b.standing.is_leaving() {
+            return;
+        }
+        let mut parted = self.parted.borrow_mut();
+        if parted.len() >= MAX_PARTED {
+            parted.pop_front();
+        }
+        let born = b.info.borrow().born;
+        parted.push_back(Parted { id: b.id(), born, standing: b.standing.clone() });
+    }
+
+    /// What a target has said before its entry was gone.
+    fn rejoin(&self, info: &TargetInfo) -> Standing {
+        let mut parted = self.parted.borrow_mut();
+        let found = parted.iter().rposition(|p| p.id == info.id);
+        let known = found.and_then(|i| parted.remove(i));
+        known.filter(|p| !info.is_newer(p.born)).map(|p| p.standing).unwrap_or_default()
+    }
+
     /// What is learnt of a service's engines.
     fn timing(&self, service: &str) -> Rc<RefCell<FirstToken>> {
         let mut timings = self.timings.borrow_mut();
@@ -116,8 +159,10 @@
         let mut all = self.all.borrow_mut();
         let found = all.binary_search_by(|b| b.info.borrow().id.as_str().cmp(id));
         let Ok(i) = found else { return false };
+        let gone = all.remove(i);
+        self.part(&gone);
         // What still runs there has it in hand; it ends when that is over.
-        all.remove(i).info.borrow_mut().state = TargetState::Draining;
+        gone.info.borrow_mut().state = TargetState::Draining;
         true
     }
 
@@ -133,9 +178,10 @@
     /// Removes the targets whose entries have not come back. Returns their ids.
     pub fn sweep(&self) -> Vec<CompactString> {
         let mut all = self.all.borrow_mut();
-        let gone = all.iter().filter(|b| b.lapsed.get()).map(|b| b.id()).collect();
-        all.retain(|b| !b.lapsed.get());
-        gone
+        let (gone, left): (Vec<_>, Vec<_>) = all.drain(..).partition(|b| b.lapsed.get());
+        *all = left;
+        gone.iter().for_each(|b| self.part(b));
+        gone.iter().map(|b| b.id()).collect()
     }
 
     /// Another router sent a prompt to the target of this digest. `cache_tokens` tells how many
@@ -157,6 +203,11 @@
         load.cache.read(parts, now, cache_tokens(&b.info.borrow().service));
     }
 
+    /// How many targets have said that they leave.
+    pub fn count_leaving(&self) -> usize {
+        self.all.borrow().iter().filter(|b| b.standing.is_leaving()).count()
+    }
+
     /// How many targets are cold.
     pub fn count_cold(&self) -> usize {
         let now = Instant::now();
@@ -181,8 +232,7 @@
     /// How many targets a service has, and how many of them take new work.
     pub fn count(&self) -> (usize, usize) {
         let all = self.all.borrow();
-        let ready = all.iter().filter(|b| b.info.borrow().state == TargetState::Ready);
-        (all.len(), ready.count())
+        (all.len(), all.iter().filter(|b| b.is_expected_to_stay()).count())
     }
 
     /// The targets that could take a request.
@@ -193,7 +243,7 @@
         let mut barred = None;
         let takes = |b: &&Rc<Backend>| {
             let info = b.info.borrow();
-            if info.service != req.service || info.state != TargetState::Ready {
+            if info.service != req.service || !b.is_expected_to_stay() {
                 return false;
             }
             let bars = req.reach.bars(&info.zone);
--- a/src/stats.rs
+++ b/src/stats.rs
@@ -49,6 +49,8 @@
     pub cold: Family<Reason, Counter>,
     /// What targets said of themselves in answers.
     pub notices: Family<Reason, Counter>,
+    /// Targets that have said that they leave.
+    pub targets_leaving: Gauge,
     /// Targets that are cold.
     pub targets_cold: Gauge,
     /// Zones that the operator has emptied.
@@ -112,6 +114,12 @@
         registry.register("cold_admissions", "Requests to cold targets", cold.clone());
         let notices = Family::default();
         registry.register("target_notices", "What targets say of themselves", notices.clone());
+        let targets_leaving = Gauge::default();
+        registry.register(
+            "targets_leaving",
+            "Targets that say they leave",
+            targets_leaving.clone(),
+        );
         let targets_cold = Gauge::default();
         registry.register("targets_cold", "Targets that are cold", targets_cold.clone());
         let zones_emptied = Gauge::default();
@@ -147,6 +155,7 @@
             store_bytes,
             cold,
             notices,
+            targets_leaving,
             targets_cold,
             zones_emptied,
             first_event,
--- a/tests/test_gateway_targets.rs
+++ b/tests/test_gateway_targets.rs
@@ -5,6 +5,7 @@
 
 use kingcupwall::gateway::backend::target_word;
 use kingcupwall::gateway::backend::{Backend, Flight, Planned, StartedMs, TargetInfo, TargetState};
+use kingcupwall::gateway::notice::Notice;
 use kingcupwall::gateway::reach::Reach;
 use kingcupwall::gateway::request::Part;
 use kingcupwall::gateway::targets::{Change, PlaceRequest, Targets};
@@ -165,3 +166,54 @@
     hint(&[Part { id: 200, tokens: 5_000 }]);
     assert_eq!(uncached(), 6_000);
 }
+
+const LEAVING: Notice = Notice { leaving: true, retry_after: None };
+
+/// Guards against an entry that undoes what its target said, and a word of an earlier start that
+/// bars a later one.
+#[rstest]
+#[case::renewed(Some(5), Some(5), false, 0)]
+#[case::gone_and_back(Some(5), Some(5), true, 0)]
+#[case::start_not_said_any_more(Some(5), None, true, 0)]
+#[case::start_said_for_the_first_time(None, Some(5), true, 0)]
+#[case::started_again(Some(5), Some(6), false, 1)]
+#[case::gone_and_started_again(Some(5), Some(6), true, 1)]
+fn set_keeps_leaving(
+    #[case] born: Option<u64>,
+    #[case] next: Option<u64>,
+    #[case] gone: bool,
+    #[case] takes_new: usize,
+) {
+    let targets = Targets::default();
+    targets.set(entry(born, READY));
+    only(&targets).standing.take(LEAVING);
+    if gone {
+        targets.remove("t1");
+    }
+    targets.set(entry(next, READY));
+    assert_eq!(targets.candidates(&request()).candidates.len(), takes_new);
+    assert_eq!(targets.count(), (1, takes_new));
+}
+
+/// Guards against an entry of another writer that makes a target's word forgotten.
+#[test]
+fn set_keeps_leaving_at_other_address() {
+    let targets = Targets::default();
+    targets.set(entry(Some(5), READY));
+    only(&targets).standing.take(LEAVING);
+    let moved = TargetInfo { addr: "127.0.0.9:81".parse().unwrap(), ..entry(Some(5), READY) };
+    targets.set(moved);
+    targets.set(entry(Some(5), READY));
+    assert!(targets.candidates(&request()).candidates.is_empty());
+}
+
+#[test]
+fn sweep_keeps_leaving() {
+    let targets = Targets::default();
+    targets.set(entry(Some(5), READY));
+    only(&targets).standing.take(LEAVING);
+    targets.lapse("t1");
+    assert_eq!(targets.sweep(), ["t1"]);
+    targets.set(entry(Some(5), READY));
+    assert!(targets.candidates(&request()).candidates.is_empty());
+}
