A target that asks for rest gets no request until it is over

What callers saw: targets that turned everything away and asked for 3 s of rest got up to 9 requests from one router in that time; every such request was turned away again, drew on the retry budget that the others needed, and 54 callers were told to come back in 0.4 s to targets that wanted nobody.

Cause: a refusal was taken for a full batch that has room again after 120 ms, whatever the target asked for. Retry-After was read by nobody. Same class as the target that leaves: what a target says in band was dropped. Ruled out: forgotten (nothing was kept), on their way (the sends are 123 ms and more apart, right after the constant), the way round through targets that are tried last (a full target was never among them).

Now the end of a rest is kept with what the target says of itself, beside its entry: the latest end holds, a shorter or missing time afterwards shortens nothing, a later start ends it. 120 ms are what a refusal without a time means. A target that rests is no candidate, nor is it sent to by a request that was choosing or connecting while the answer came. When all that is left rests, the caller is refused at once with 503 targets_rest and the first time at which a target wants it, spread by up to 0.4 s; so is a caller whose request was turned away and may go to no other target.

--- a/src/gateway/backend.rs
+++ b/src/gateway/backend.rs
@@ -24,8 +24,8 @@
 const DOUBT: Duration = Duration::from_millis(400);
 /// The longest doubt: after it one request tries the target again.
 const MAX_DOUBT: Duration = Duration::from_secs(3);
-/// How long a target that said it is full is left alone. An engine's step takes some 10 ms; a
-/// slot becomes free every few steps.
+/// How long a target that turned a request away is left alone, if it does not ask for longer. An
+/// engine's step takes some 10 ms; a slot becomes free every few steps.
 const FULL: Duration = Duration::from_millis(120);
 
 /// Whether a target takes new work.
@@ -197,9 +197,9 @@
         self.pool.borrow_mut().clear();
     }
 
-    /// It said that it is full.
-    pub fn full(&self) {
-        self.load.borrow_mut().full_until = Some(Instant::now() + FULL);
+    /// It turned a request away.
+    pub fn turned_away(&self) {
+        self.standing.rest(Instant::now(), FULL);
     }
 }
 
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -15,7 +15,7 @@
 use super::outcome::{self, Ended, Final, Made, Next};
 use super::place::{Demand, Placement, place};
 use super::reach::{Barred, Reach};
-use super::refusal::{COME_BACK, MOST_COME_BACK, Own, Unadmitted, cold_refusal};
+use super::refusal::{COME_BACK, MOST_COME_BACK, Own, Unadmitted, cold_refusal, resting_refusal};
 use super::reply::Reply;
 use super::request::{Facts, Names, host, path};
 use super::state::{Gateway, Platform};
@@ -311,13 +311,23 @@
                 };
             return match (final_answer, own_failure) {
                 (Final::TargetsOwn, Some(reply)) => Ok(reply),
-                (Final::NotRun, _) => Err(Own::refusal("target_refused", COME_BACK)),
+                (Final::NotRun, _) => Err(self.turned_away()),
                 (_, Some(reply)) => Ok(reply),
                 _ => Err(Own::new(502, "target_failed")),
             };
         }
     }
 
+    /// The answer to a request that targets turned away and that may go to no other, with the time
+    /// at which one is worth a try.
+    fn turned_away(&self) -> Own {
+        match self.choose() {
+            Err(Unplaced::Refused(own)) => Own { reason: "target_refused", ..own },
+            Err(Unplaced::Cold { room_in }) => cold_refusal(room_in),
+            Ok(_) => Own::refusal("target_refused", COME_BACK),
+        }
+    }
+
     /// A refusal must not promise "not run" once a target may have run the request.
     fn after_runs(&self, own: Own) -> Own {
         if self.may_have_run.get() && own.status == 503 { Own::new(502, own.reason) } else { own }
@@ -380,6 +390,9 @@
                 Some(Barred::Abroad) => Own::refusal("no_target_at_home", COME_BACK),
             })),
             Placement::Cold { room_in } => Err(Unplaced::Cold { room_in }),
+            Placement::Resting { wants_in } => {
+                Err(Unplaced::Refused(resting_refusal("targets_rest", wants_in)))
+            }
             Placement::Busy { room_in_ms } => {
                 let after = Duration::from_secs_f64(room_in_ms / 1_000.0);
                 Err(Unplaced::Refused(Own::refusal("busy", after)))
@@ -390,7 +403,7 @@
     fn note_ended(&mut self, backend: &Backend, ended: Ended, runs_before: u32) {
         match ended {
             Ended::NotSent => backend.unreachable(),
-            Ended::NotRun => backend.full(),
+            Ended::NotRun => backend.turned_away(),
             Ended::OtherTarget => backend.unreachable(),
             Ended::NoAnswer | Ended::Silent | Ended::Truncated => backend.failed(),
             Ended::Failed | Ended::HeldOff => (),
--- a/src/gateway/load.rs
+++ b/src/gateway/load.rs
@@ -79,7 +79,6 @@
     pub(super) cache: PartCache,
     pub(super) failures: u32,
     pub(super) doubtful_until: Option<Instant>,
-    pub(super) full_until: Option<Instant>,
 }
 
 impl Load {
@@ -93,7 +92,6 @@
             cache: PartCache::default(),
             failures: 0,
             doubtful_until: None,
-            full_until: None,
         }
     }
 
--- a/src/gateway/notice.rs
+++ b/src/gateway/notice.rs
@@ -6,6 +6,8 @@
 use std::cell::Cell;
 use std::time::{Duration, SystemTime};
 
+use tokio::time::Instant;
+
 use super::request::Names;
 use crate::http1::{ResponseHead, header};
 
@@ -67,16 +69,42 @@
 #[derive(Clone, Debug, Default)]
 pub struct Standing {
     leaving: Cell<bool>,
+    rests_until: Cell<Option<Instant>>,
 }
 
 impl Standing {
     /// Takes in what an answer says. Returns whether that is new.
-    pub fn take(&self, notice: Notice) -> bool {
-        notice.leaving && !self.leaving.replace(true)
+    pub fn take(&self, notice: Notice, now: Instant) -> bool {
+        let leaves = notice.leaving && !self.leaving.replace(true);
+        let rests = match notice.retry_after {
+            Some(RetryAfter::Delay(delay)) => self.rest(now, delay),
+            Some(RetryAfter::Unreadable) | None => false,
+        };
+        leaves || rests
+    }
+
+    /// It wants no request for so long. Returns whether that is longer than was known: the latest
+    /// end holds, answers to requests that were sent together may each state one.
+    pub fn rest(&self, now: Instant, delay: Duration) -> bool {
+        let before = self.rests_until.get();
+        let until = before.max(now.checked_add(delay));
+        self.rests_until.set(until);
+        until > before
     }
 
     /// Whether it has said that it leaves.
     pub fn is_leaving(&self) -> bool {
         self.leaving.get()
     }
+
+    /// How long it still wants no request, if it said so.
+    pub fn rests_for(&self, now: Instant) -> Option<Duration> {
+        let until = self.rests_until.get()?;
+        until.checked_duration_since(now).filter(|d| !d.is_zero())
+    }
+
+    /// Whether it wants no request now.
+    pub fn holds_off(&self, now: Instant) -> bool {
+        self.is_leaving() || self.rests_for(now).is_some()
+    }
 }
--- a/src/gateway/outcome.rs
+++ b/src/gateway/outcome.rs
@@ -8,7 +8,7 @@
     /// No byte of the request left.
     NotSent,
     /// No byte of the request left: the target is cold and has no room for it, or a moment ago its
-    /// zone was emptied or it was heard to leave.
+    /// zone was emptied or it asked for no more requests.
     HeldOff,
     /// The target proved that it did not run the request.
     NotRun,
--- a/src/gateway/place.rs
+++ b/src/gateway/place.rs
@@ -26,8 +26,8 @@
     pub rank: usize,
     /// It failed lately, or its entry lapsed: used only if nothing else is there.
     pub doubtful: bool,
-    /// It said that it is full, a moment ago.
-    pub full: bool,
+    /// Set if it turned a request away: how long it still wants none.
+    pub resting: Option<Duration>,
     /// Already tried for this request.
     pub tried: bool,
     /// Set for a cold target: when it has room for a request, as far as is known.
@@ -38,6 +38,11 @@
     fn has_room(&self) -> bool {
         self.room_in.is_none_or(|t| t.is_zero())
     }
+
+    /// Whether it may get this request, now or once it has room.
+    fn is_open(&self) -> bool {
+        !self.tried && self.resting.is_none()
+    }
 }
 
 /// What a request asks of a placement.
@@ -119,6 +124,11 @@
         /// When one of them has.
         room_in: Duration,
     },
+    /// What is left has turned requests away, and wants the next one in so long.
+    Resting {
+        /// When the first of them does.
+        wants_in: Duration,
+    },
     /// All targets are too busy for it; room is expected in so many ms.
     Busy {
         /// When to come back, ms.
@@ -144,19 +154,18 @@
 /// and make those late as well: with callers that come faster than the engines read, every
 /// request would end up late.
 pub fn place(candidates: &[Candidate], demand: &Demand, w: &Weights) -> Placement {
-    let usable = |c: &Candidate| !c.tried && !c.full && !c.doubtful && c.has_room();
-    let second_best = |c: &Candidate| !c.tried && !c.full && c.has_room();
+    let usable = |c: &Candidate| c.is_open() && !c.doubtful && c.has_room();
+    let second_best = |c: &Candidate| c.is_open() && c.has_room();
     let best = best(candidates, demand.engine, w, usable)
         .or_else(|| best(candidates, demand.engine, w, second_best));
     let Some(index) = best else {
-        let cold = candidates.iter().filter(|c| !c.tried && !c.full && !c.has_room());
+        let cold = candidates.iter().filter(|c| c.is_open() && !c.has_room());
         if let Some(room_in) = cold.filter_map(|c| c.room_in).min() {
             return Placement::Cold { room_in };
         }
-        let any_full = candidates.iter().any(|c| !c.tried && c.full);
-        let nothing =
-            if any_full { Placement::Busy { room_in_ms: 150.0 } } else { Placement::NoTarget };
-        return nothing;
+        let resting = candidates.iter().filter_map(|c| c.resting);
+        let resting = resting.min().map(|wants_in| Placement::Resting { wants_in });
+        return resting.unwrap_or(Placement::NoTarget);
     };
     if !demand.engine {
         return Placement::Send { index, predicted_ms: 0.0 };
--- a/src/gateway/send.rs
+++ b/src/gateway/send.rs
@@ -9,7 +9,7 @@
 use super::backend::{Backend, Flight, Planned};
 use super::cold::Pace;
 use super::forward::Job;
-use super::notice::Notice;
+use super::notice::{Notice, RetryAfter};
 use super::outcome::Ended;
 use super::pool::{Link, dial};
 use super::reply::{Reply, Rest, StreamState};
@@ -128,7 +128,8 @@
                 }
             }
         }
-        if self.gw.zones.is_emptied(&zone) || !backend.is_expected_to_stay() {
+        let holds_off = backend.standing.holds_off(Instant::now());
+        if self.gw.zones.is_emptied(&zone) || !backend.is_expected_to_stay() || holds_off {
             return Err(Ended::HeldOff);
         }
         Ok(())
@@ -212,7 +213,8 @@
             return;
         };
         noticed(&self.gw.stats, notice);
-        if !backend.standing.take(notice) && notice.retry_after.is_none() {
+        let is_new = backend.standing.take(notice, Instant::now());
+        if !is_new && notice.retry_after != Some(RetryAfter::Unreadable) {
             return;
         }
         let (id, target, status) = (&self.facts.id, backend.id(), head.status);
--- a/src/gateway/sync.rs
+++ b/src/gateway/sync.rs
@@ -199,6 +199,7 @@
         let count = |n: usize| i64::try_from(n).unwrap_or(i64::MAX);
         gw.stats.targets_cold.set(count(gw.targets.count_cold()));
         gw.stats.targets_leaving.set(count(gw.targets.count_leaving()));
+        gw.stats.targets_resting.set(count(gw.targets.count_resting()));
         let link = gw.reader.link();
         if link.away || may_return(&gw) {
             continue;
--- a/src/gateway/targets.rs
+++ b/src/gateway/targets.rs
@@ -122,7 +122,7 @@
 
     /// Keeps what a target said whose entry is gone.
     fn part(&self, b: &Backend) {
-        if !b.standing.is_leaving() {
+        if !b.standing.holds_off(Instant::now()) {
             return;
         }
         let mut parted = self.parted.borrow_mut();
@@ -208,6 +208,12 @@
         self.all.borrow().iter().filter(|b| b.standing.is_leaving()).count()
     }
 
+    /// How many targets want no request for a while.
+    pub fn count_resting(&self) -> usize {
+        let now = Instant::now();
+        self.all.borrow().iter().filter(|b| b.standing.rests_for(now).is_some()).count()
+    }
+
     /// How many targets are cold.
     pub fn count_cold(&self) -> usize {
         let now = Instant::now();
@@ -287,7 +293,7 @@
         slots: info.slots,
         rank,
         doubtful: b.lapsed.get() || load.doubtful_until.is_some_and(|t| t > now),
-        full: load.full_until.is_some_and(|t| t > now),
+        resting: b.standing.rests_for(now),
         tried: req.tried.contains(&info.id),
         room_in: b.is_cold(now).then(|| {
             b.no_room_until.get().map_or(Duration::ZERO, |t| t.saturating_duration_since(now))
--- a/src/stats.rs
+++ b/src/stats.rs
@@ -51,6 +51,8 @@
     pub notices: Family<Reason, Counter>,
     /// Targets that have said that they leave.
     pub targets_leaving: Gauge,
+    /// Targets that turned a request away and want none for a while.
+    pub targets_resting: Gauge,
     /// Targets that are cold.
     pub targets_cold: Gauge,
     /// Zones that the operator has emptied.
@@ -120,6 +122,12 @@
             "Targets that say they leave",
             targets_leaving.clone(),
         );
+        let targets_resting = Gauge::default();
+        registry.register(
+            "targets_resting",
+            "Targets that want no request",
+            targets_resting.clone(),
+        );
         let targets_cold = Gauge::default();
         registry.register("targets_cold", "Targets that are cold", targets_cold.clone());
         let zones_emptied = Gauge::default();
@@ -156,6 +164,7 @@
             cold,
             notices,
             targets_leaving,
+            targets_resting,
             targets_cold,
             zones_emptied,
             first_event,
--- a/tests/test_gateway_cold.rs
+++ b/tests/test_gateway_cold.rs
@@ -120,7 +120,7 @@
         slots: 8,
         rank: i,
         doubtful: false,
-        full: false,
+        resting: None,
         tried: false,
         room_in: ms.map(Duration::from_millis),
     };
--- a/tests/test_gateway_decisions.rs
+++ b/tests/test_gateway_decisions.rs
@@ -93,7 +93,7 @@
         slots: 8,
         rank: 0,
         doubtful: false,
-        full: false,
+        resting: None,
         tried: false,
         room_in: None,
     }
@@ -137,11 +137,34 @@
     assert!((600.0..900.0).contains(&room_in_ms), "{room_in_ms}");
 }
 
+/// Guards against callers that are told another time than the first at which a target wants them.
+#[rstest]
+#[case::all_rest(&[Some(3_000), Some(120)], &[], Some(120))]
+#[case::one_that_was_tried(&[Some(3_000)], &[0], Some(3_000))]
+#[case::none_rests(&[None], &[0], None)]
+fn place_resting(
+    #[case] resting_ms: &[Option<u64>],
+    #[case] tried: &[usize],
+    #[case] wants_in_ms: Option<u64>,
+) {
+    let one = |(i, ms): (usize, &Option<u64>)| Candidate {
+        resting: ms.map(Duration::from_millis),
+        tried: tried.contains(&i),
+        ..candidate()
+    };
+    let candidates: Vec<Candidate> = resting_ms.iter().enumerate().map(one).collect();
+    let expected = match wants_in_ms {
+        Some(ms) => Placement::Resting { wants_in: Duration::from_millis(ms) },
+        None => Placement::NoTarget,
+    };
+    assert_eq!(place(&candidates, &DEMAND, &Weights::default()), expected);
+}
+
 #[test]
-fn place_all_full() {
-    let full = Candidate { full: true, ..candidate() };
-    let placement = place(&[full], &DEMAND, &Weights::default());
-    assert!(matches!(placement, Placement::Busy { .. }));
+fn place_resting_never_chosen() {
+    let resting = Candidate { resting: Some(Duration::from_millis(1)), ..candidate() };
+    let doubtful = Candidate { doubtful: true, wait_ms: 200.0, ..candidate() };
+    assert_eq!(sent(place(&[resting, doubtful], &DEMAND, &Weights::default())), 1);
 }
 
 #[test]
--- a/tests/test_gateway_targets.rs
+++ b/tests/test_gateway_targets.rs
@@ -5,7 +5,7 @@
 
 use kingcupwall::gateway::backend::target_word;
 use kingcupwall::gateway::backend::{Backend, Flight, Planned, StartedMs, TargetInfo, TargetState};
-use kingcupwall::gateway::notice::Notice;
+use kingcupwall::gateway::notice::{Notice, RetryAfter, Standing};
 use kingcupwall::gateway::reach::Reach;
 use kingcupwall::gateway::request::Part;
 use kingcupwall::gateway::targets::{Change, PlaceRequest, Targets};
@@ -186,7 +186,7 @@
 ) {
     let targets = Targets::default();
     targets.set(entry(born, READY));
-    only(&targets).standing.take(LEAVING);
+    only(&targets).standing.take(LEAVING, Instant::now());
     if gone {
         targets.remove("t1");
     }
@@ -200,7 +200,7 @@
 fn set_keeps_leaving_at_other_address() {
     let targets = Targets::default();
     targets.set(entry(Some(5), READY));
-    only(&targets).standing.take(LEAVING);
+    only(&targets).standing.take(LEAVING, Instant::now());
     let moved = TargetInfo { addr: "127.0.0.9:81".parse().unwrap(), ..entry(Some(5), READY) };
     targets.set(moved);
     targets.set(entry(Some(5), READY));
@@ -211,9 +211,52 @@
 fn sweep_keeps_leaving() {
     let targets = Targets::default();
     targets.set(entry(Some(5), READY));
-    only(&targets).standing.take(LEAVING);
+    only(&targets).standing.take(LEAVING, Instant::now());
     targets.lapse("t1");
     assert_eq!(targets.sweep(), ["t1"]);
     targets.set(entry(Some(5), READY));
     assert!(targets.candidates(&request()).candidates.is_empty());
 }
+
+#[tokio::test(start_paused = true)]
+async fn standing_rests() {
+    let asks = |ms| Notice {
+        leaving: false,
+        retry_after: Some(RetryAfter::Delay(Duration::from_millis(ms))),
+    };
+    let (standing, start) = (Standing::default(), Instant::now());
+    let at = |ms| start + Duration::from_millis(ms);
+    let rests_ms = |ms| standing.rests_for(at(ms)).map(|d| d.as_millis());
+    assert!(standing.take(asks(3_000), start));
+    // Neither a shorter time nor an answer without one ends it sooner.
+    assert!(!standing.take(asks(100), at(10)));
+    assert!(!standing.take(asks(0), at(20)));
+    assert!(!standing.take(Notice::default(), at(30)));
+    assert_eq!((rests_ms(2_999), rests_ms(3_000)), (Some(1), None));
+    assert!(standing.take(asks(3_000), at(1_000)));
+    assert_eq!(rests_ms(3_500), Some(500));
+    assert!(
+        !standing
+            .take(Notice { leaving: false, retry_after: Some(RetryAfter::Unreadable) }, at(9_000))
+    );
+    assert_eq!(rests_ms(9_000), None);
+}
+
+/// Guards against an entry that is gone and back and makes a target's rest forgotten.
+#[rstest]
+#[case::same_start(Some(5), 0)]
+#[case::started_again(Some(6), 1)]
+#[tokio::test(start_paused = true)]
+async fn set_keeps_rest(#[case] next: Option<u64>, #[case] takes: usize) {
+    let targets = Targets::default();
+    targets.set(entry(Some(5), READY));
+    only(&targets).standing.rest(Instant::now(), Duration::from_secs(3));
+    targets.remove("t1");
+    targets.set(entry(next, READY));
+    let takes_some = |t: &Targets| {
+        t.candidates(&request()).candidates.iter().filter(|(_, c)| c.resting.is_none()).count()
+    };
+    assert_eq!((takes_some(&targets), targets.count_resting()), (takes, 1 - takes));
+    tokio::time::advance(Duration::from_secs(3)).await;
+    assert_eq!(takes_some(&targets), 1);
+}
