Only a 503 asks for rest; 429 with Retry-After leaves a target alone for a moment, as before

Hypothesis: a 429 with Retry-After means the same as a 503 with it.

Kept: left alone for 120 ms, what every refusal without a time means. With 503 the time is kept to whatever it costs: the target wants nothing.

--- a/src/gateway/notice.rs
+++ b/src/gateway/notice.rs
@@ -19,7 +19,9 @@
 pub struct Notice {
     /// The target is about to stop.
     pub leaving: bool,
-    /// It turned the request away, and says when it wants the next one.
+    /// It turned the request away with 503, and says when it wants the next one. With 429 it still
+    /// runs others: left alone for the time that it states then, a service whose targets all do so
+    /// would take next to nothing.
     pub retry_after: Option<RetryAfter>,
 }
 
@@ -42,7 +44,7 @@
             status => Notice {
                 leaving: stated(&names.leaving).is_some(),
                 retry_after: stated("retry-after")
-                    .filter(|_| matches!(status, 429 | 503))
+                    .filter(|_| status == 503)
                     .map(|after| retry_after(after.trim(), stated("date"))),
             },
         }
