Soak: targets that say that they leave, or ask for rest, while their entries say ready

Now one of the soak's targets after the other does, beside all faults, and what arrives is counted as asked: requests sent 2 s after their router had passed on the word, more than two of one router from half a second after a refusal to the end of the rest that it asked for. A pause, kill or stop of the router excuses both, harm to the target's link the second. The checks find what they are for (check_leaving_counts, check_rest_counts).

--- a/soak/src/callers.rs
+++ b/soak/src/callers.rs
@@ -12,7 +12,7 @@
 use kingcupwall::standin::gateway_target::TOKENS_PER_EVENT;
 use kingcupwall_platform::names;
 use serde_json::Value;
-use tokio::time::{sleep, timeout};
+use tokio::time::{Instant, sleep, timeout};
 
 /// The header with the proof of whose answer it is.
 pub const SEAL: &str = "Response-Seal";
@@ -74,6 +74,12 @@
     pub org: usize,
     /// Prompt tokens and most output tokens.
     pub tokens: (u64, u64),
+    /// The router that it was sent to.
+    pub router: SocketAddr,
+    /// When it was sent.
+    pub sent: Instant,
+    /// When an answer came that says that its target leaves.
+    pub heard_leaving: Option<Instant>,
     /// The answer's status; none if there was no answer.
     pub status: Option<u16>,
     /// The proof of whose answer it is.
@@ -113,28 +119,31 @@
 /// One caller, until `over`.
 pub async fn call_on(callers: Rc<Callers>, number: u32, seed: u64) {
     let mut rng = Rng::with_seed(seed);
-    let mut open: Option<Conn> = None;
+    let mut open: Option<(SocketAddr, Conn)> = None;
     let mut sent = 0_u32;
     while !callers.over.get() {
         if open.is_none() {
             open = connect(&callers, &mut rng, number).await;
         }
-        let Some(mut conn) = open.take() else {
+        let Some((router, mut conn)) = open.take() else {
             sleep(Duration::from_millis(50)).await;
             continue;
         };
         sent += 1;
-        let exchange =
-            ask(&callers, &mut conn, &mut rng, format_compact!("c{number}n{sent}")).await;
-        let (exchange, keep) = exchange;
+        let id = format_compact!("c{number}n{sent}");
+        let (exchange, keep) = ask(&callers, router, &mut conn, &mut rng, id).await;
         callers.seen.borrow_mut().push(exchange);
         // An open connection is used as long as the router keeps it.
-        open = keep.then_some(conn);
+        open = keep.then_some((router, conn));
         sleep(Duration::from_millis(rng.u64(10..60))).await;
     }
 }
 
-pub(crate) async fn connect(callers: &Callers, rng: &mut Rng, number: u32) -> Option<Conn> {
+pub(crate) async fn connect(
+    callers: &Callers,
+    rng: &mut Rng,
+    number: u32,
+) -> Option<(SocketAddr, Conn)> {
     let zone = if number.is_multiple_of(2) { "zone-0" } else { "zone-1" };
     let mut directories = callers.directories.clone();
     rng.shuffle(&mut directories);
@@ -143,7 +152,7 @@
         let Ok(Some(fronts)) = asked else { continue };
         let Some(front) = rng.choice(fronts) else { continue };
         if let Ok(Ok(conn)) = timeout(ENTRY, Conn::dial(front, TIME_LEFT)).await {
-            return Some(conn);
+            return Some((front, conn));
         }
     }
     sleep(ENTRY_KEPT / 10).await;
@@ -164,6 +173,7 @@
 
 async fn ask(
     callers: &Callers,
+    router: SocketAddr,
     conn: &mut Conn,
     rng: &mut Rng,
     id: CompactString,
@@ -176,6 +186,9 @@
         asked,
         org,
         tokens,
+        router,
+        sent: Instant::now(),
+        heard_leaving: None,
         status: None,
         seal: None,
         body: String::new(),
@@ -214,4 +227,6 @@
 fn note_head(exchange: &mut Exchange, head: &ResponseHead) {
     exchange.status = Some(head.status);
     exchange.seal = header(&head.headers, SEAL).map(CompactString::from);
+    let leaving = header(&head.headers, &names::headers().leaving);
+    exchange.heard_leaving = leaving.map(|_| Instant::now());
 }
--- a/soak/src/fatal.rs
+++ b/soak/src/fatal.rs
@@ -27,7 +27,7 @@
     while !callers.over.get() {
         let kind = (began.elapsed().as_secs_f64() / each.as_secs_f64()) as u32;
         let path = format_compact!("/safe/fatal-{}", kind.min(kinds - 1));
-        if let Some(mut conn) = connect(&callers, &mut rng, sent).await {
+        if let Some((_, mut conn)) = connect(&callers, &mut rng, sent).await {
             let bytes = request(&path, sent, &callers.keys[0]);
             sent += 1;
             // What becomes of it is seen at the targets.
--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod checks;
 pub mod fatal;
 pub mod faults;
+pub mod notices;
 pub mod proxy;
 pub mod routers;
 pub mod run;
--- a/soak/src/routers.rs
+++ b/soak/src/routers.rs
@@ -78,6 +78,11 @@
         })
     }
 
+    /// Where callers connect.
+    pub fn front(&self) -> SocketAddr {
+        format!("{}:{FRONT}", self.ip).parse().expect("an address")
+    }
+
     /// Where it says which routers callers should use.
     pub fn directory(&self) -> SocketAddr {
         format!("{}:{DIRECTORY}", self.ip).parse().expect("an address")
--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -2,6 +2,7 @@
 
 use std::cell::{Cell, RefCell};
 use std::fmt;
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::rc::Rc;
 use std::time::Duration;
@@ -24,6 +25,7 @@
 use crate::checks::check;
 use crate::fatal;
 use crate::faults::{Fault, Parts, next};
+use crate::notices::{self, Harm};
 use crate::proxy::{Mode, Proxy};
 use crate::routers::{GRACE_S, Router};
 use crate::store;
@@ -50,6 +52,8 @@
 const MORE_ROUTES: usize = 2_500;
 /// Requests that end targets, one after the other while faults go on.
 const FATAL_KINDS: u32 = 3;
+/// Apart from the seed of the faults, whose series stays as it is.
+const NOTICES: u64 = 0x006e_6f74_6963_6573;
 /// How long a target that has ended is down.
 const DOWN: Duration = Duration::from_secs(1);
 /// Pause between two looks whether a router listens.
@@ -116,6 +120,8 @@
     more_routes: Cell<usize>,
     replaced: Cell<u64>,
     found: RefCell<Vec<String>>,
+    router_harms: RefCell<Vec<Harm<SocketAddr>>>,
+    link_harms: RefCell<Vec<Harm<CompactString>>>,
     ip: CompactString,
 }
 
@@ -139,13 +145,16 @@
     let targets = move || all.targets.borrow().iter().map(|(t, _)| t.clone()).collect();
     let emptied =
         spawn_local(zones::empty_in_turn(world.store.clone(), targets, until, setup.seed));
+    let saying = spawn_local(world.clone().say_in_turn(until, setup.seed));
     let faults = world.break_for(setup).await;
     let emptied = emptied.await?;
+    saying.await?;
     sleep(SETTLE).await;
     let before = world.runs();
     world.check_calm().await;
     fatal::check(&before, &world.runs()).into_iter().for_each(|v| world.note(v));
     zones::check(&world.all_targets(), &emptied).into_iter().for_each(|v| world.note(v));
+    world.check_notices();
     world.callers.over.set(true);
     for router in &world.routers {
         let mut router = router.lock().await;
@@ -199,6 +208,8 @@
             more_routes: Cell::new(0),
             replaced: Cell::new(0),
             found: RefCell::default(),
+            router_harms: RefCell::default(),
+            link_harms: RefCell::default(),
             ip,
         });
         world.configure();
@@ -335,6 +346,50 @@
         faults
     }
 
+    /// One target after the other says that it leaves, and does so later, or asks for rest.
+    async fn say_in_turn(self: Rc<World>, until: Instant, seed: u64) {
+        let mut rng = Rng::with_seed(seed ^ NOTICES);
+        loop {
+            let (n, leaves) = (rng.usize(..TARGETS), rng.bool());
+            let lasts = if leaves { notices::LEAVES_MS } else { notices::SHEDS_MS };
+            let lasts = Duration::from_millis(rng.u64(lasts));
+            let pause = Duration::from_millis(rng.u64(notices::PAUSE_MS));
+            if Instant::now() + pause + lasts > until {
+                return;
+            }
+            sleep(pause).await;
+            let target = self.targets.borrow()[n].0.clone();
+            target.set_says_leaving(leaves);
+            target.set_rests(rng.choice(notices::RESTS).filter(|_| !leaves));
+            sleep(lasts).await;
+            target.set_rests(None);
+            // A fault may have put another one in its place.
+            let is_there = self.targets.borrow()[n].0.id == target.id;
+            if leaves && is_there {
+                self.replace(n).await;
+            }
+        }
+    }
+
+    fn check_notices(&self) {
+        let seen = notices::Seen {
+            exchanges: &self.callers.seen.borrow(),
+            routers: &self.router_harms.borrow(),
+            links: &self.link_harms.borrow(),
+        };
+        notices::check(&self.all_targets(), &seen).into_iter().for_each(|v| self.note(v));
+    }
+
+    fn note_router(&self, router: &Router, from: Instant) {
+        let harm = Harm { whom: router.front(), from, to: Instant::now() };
+        self.router_harms.borrow_mut().push(harm);
+    }
+
+    fn note_link(&self, target: &StandinTarget, from: Instant) {
+        let harm = Harm { whom: target.id.clone(), from, to: Instant::now() };
+        self.link_harms.borrow_mut().push(harm);
+    }
+
     /// Makes the configuration large after a while.
     async fn grow(self: Rc<World>, after: Duration) {
         sleep(after).await;
@@ -363,16 +418,25 @@
             }
             Fault::StoreReset(r) => self.store_links[r].reset(),
             Fault::TargetLink(t, mode, d) => {
-                let link = self.targets.borrow()[t].1.clone();
+                let (target, link) = self.targets.borrow()[t].clone();
+                let from = Instant::now();
                 through(&link, mode, d).await;
+                self.note_link(&target, from);
+            }
+            Fault::TargetReset(t) => {
+                let (target, link) = self.targets.borrow()[t].clone();
+                link.reset();
+                self.note_link(&target, Instant::now());
             }
-            Fault::TargetReset(t) => self.targets.borrow()[t].1.reset(),
             Fault::Target(t, fault) => self.targets.borrow()[t].0.fail(&[fault]),
             Fault::Replace(t) => self.replace(t).await,
             Fault::Pause(r, d) => {
                 self.routers[r].lock().await.signal(Signal::STOP);
+                let from = Instant::now();
                 sleep(d).await;
-                self.routers[r].lock().await.signal(Signal::CONT);
+                let router = self.routers[r].lock().await;
+                router.signal(Signal::CONT);
+                self.note_router(&router, from);
             }
             Fault::Kill(r, down) => self.restart(r, down).await,
             Fault::KillAll(down) => {
@@ -385,7 +449,9 @@
                 // A paused process could not hear it.
                 router.signal(Signal::CONT);
                 router.listens().await;
+                let from = Instant::now();
                 router.stop().await;
+                self.note_router(&router, from);
                 self.start_again(&mut router);
             }
             Fault::Reload(r) => self.reload(r).await,
@@ -421,8 +487,10 @@
         if let Some(status) = router.crashed() {
             self.note(format!("{} ended by itself: {status}", router.name));
         }
+        let from = Instant::now();
         router.kill().await;
         sleep(down).await;
+        self.note_router(&router, from);
         self.start_again(&mut router);
     }
 
--- a/soak/src/zones.rs
+++ b/soak/src/zones.rs
@@ -88,7 +88,7 @@
     let names = names::headers();
     let mut sent = 0_u32;
     while !callers.over.get() {
-        if let Some(mut conn) = connect(&callers, &mut rng, sent).await {
+        if let Some((_, mut conn)) = connect(&callers, &mut rng, sent).await {
             let bytes = format!(
                 "GET {BOUND_PREFIX}{sent} HTTP/1.1\r\nHost: {HOST}\r\n{}: bound-{sent}\r\n{}: {}\r\n\
                  Authorization: Bearer {}\r\n\r\n",
--- a/soak/tests/tests.rs
+++ b/soak/tests/tests.rs
@@ -1,23 +1,31 @@
 //! The soak itself: its checks find what they are for, and a short run holds.
 
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::path::PathBuf;
 use std::time::Duration;
 
 use kingcupwall::http1::Header;
-use kingcupwall::standin::gateway_target::Seen;
+use kingcupwall::standin::gateway_target::{Arrival, Seen as Ran};
 use kingcupwall_soak::callers::{Asked, Exchange};
 use kingcupwall_soak::checks::check;
 use kingcupwall_soak::faults::{Parts, next};
+use kingcupwall_soak::notices::{Harm, Seen, check_leaving, check_rest};
 use kingcupwall_soak::run::{Setup, run};
+use rstest::rstest;
 use tokio::task::LocalSet;
 use tokio::time::Instant;
 
+const ROUTER: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 1);
+
 fn exchange(asked: Asked, status: u16, body: &str) -> Exchange {
     Exchange {
         id: "a".into(),
         asked,
         org: 0,
         tokens: (10, 6),
+        router: ROUTER,
+        sent: Instant::now(),
+        heard_leaving: None,
         status: Some(status),
         seal: Some("t1.a".into()),
         body: body.into(),
@@ -25,15 +33,9 @@
     }
 }
 
-fn ran(id: &str) -> Seen {
+fn ran(id: &str) -> Ran {
     let headers: Vec<Header> = Vec::new();
-    Seen {
-        id: id.into(),
-        target: "/x".into(),
-        headers,
-        body: Vec::new().into(),
-        at: Instant::now(),
-    }
+    Ran { id: id.into(), target: "/x".into(), headers, body: Vec::new().into(), at: Instant::now() }
 }
 
 fn event(n: u64) -> String {
@@ -85,6 +87,55 @@
     assert_eq!(check(&seen, &[ran("a")], &[15]), ["organisation 0: used 16 of 15"]);
 }
 
+fn seconds(s: f64) -> Duration {
+    Duration::from_secs_f64(s)
+}
+
+#[rstest]
+#[case::soon_after(1.9, None, 0)]
+#[case::late(2.1, None, 1)]
+#[case::router_started_again(2.1, Some(1.0), 0)]
+#[case::router_started_again_before(2.1, Some(-1.0), 1)]
+fn check_leaving_counts(#[case] sent_s: f64, #[case] killed_s: Option<f64>, #[case] found: usize) {
+    let start = Instant::now() + seconds(10.0);
+    let told = Exchange { heard_leaving: Some(start), ..exchange(Asked::Once, 200, "") };
+    let sent = start + seconds(sent_s);
+    let late = Exchange { id: "b".into(), sent, ..exchange(Asked::Once, 200, "") };
+    let arrival = Arrival { id: "b".into(), at: sent, retry_after: None };
+    let begin = start.checked_sub(seconds(10.0)).unwrap();
+    let killed = |s: f64| begin + seconds(10.0 + s);
+    let harms: Vec<_> = killed_s
+        .map(|s| Harm { whom: ROUTER, from: killed(s), to: killed(s) })
+        .into_iter()
+        .collect();
+    let exchanges = [told, late];
+    let seen = Seen { exchanges: &exchanges, routers: &harms, links: &[] };
+    assert_eq!(check_leaving("t1", &[(&exchanges[1], &arrival)], &seen).len(), found);
+}
+
+#[rstest]
+#[case::on_their_way(&[0.0, 0.1, 0.2, 0.4], false, 0)]
+#[case::two(&[0.0, 0.6, 2.9], false, 0)]
+#[case::three(&[0.0, 0.6, 0.7, 2.9], false, 1)]
+#[case::after_it(&[0.0, 3.1, 3.2, 3.3], false, 0)]
+#[case::link_harmed(&[0.0, 0.6, 0.7, 2.9], true, 0)]
+fn check_rest_counts(#[case] at_s: &[f64], #[case] harmed: bool, #[case] found: usize) {
+    let start = Instant::now();
+    let one = exchange(Asked::Once, 503, "");
+    let arrival = |(i, s): (usize, &f64)| Arrival {
+        id: "a".into(),
+        at: start + seconds(*s),
+        retry_after: (i == 0).then_some("3"),
+    };
+    let arrivals: Vec<Arrival> = at_s.iter().enumerate().map(arrival).collect();
+    let arrivals: Vec<(&Exchange, &Arrival)> = arrivals.iter().map(|a| (&one, a)).collect();
+    let at = start + seconds(1.0);
+    let links: Vec<_> =
+        harmed.then(|| Harm { whom: "t1".into(), from: at, to: at }).into_iter().collect();
+    let seen = Seen { exchanges: &[], routers: &[], links: &links };
+    assert_eq!(check_rest("t1", &arrivals, &seen).len(), found);
+}
+
 #[test]
 fn next_same_seed_same_faults() {
     let parts = Parts { routers: 4, targets: 4, orgs: 3 };
--- a/src/standin/gateway_target.rs
+++ b/src/standin/gateway_target.rs
@@ -71,6 +71,17 @@
     pub at: Instant,
 }
 
+/// A request that arrived at a target, whether it ran it or not.
+#[derive(Clone, Debug)]
+pub struct Arrival {
+    /// The caller's id.
+    pub id: CompactString,
+    /// When it arrived.
+    pub at: Instant,
+    /// Set if it was turned away with a `Retry-After`: the seconds stated.
+    pub retry_after: Option<&'static str>,
+}
+
 /// What a cold target bears.
 #[derive(Debug, Default)]
 struct Cold {
@@ -104,8 +115,8 @@
     event_gap: Duration,
     ended: watch::Sender<bool>,
     says_leaving: bool,
-    /// When requests arrived, run or not, but for those meant for another target.
-    arrivals: Vec<Instant>,
+    rests: Option<&'static str>,
+    arrivals: Vec<Arrival>,
 }
 
 /// A target on a port of its own.
@@ -199,8 +210,13 @@
         self.shared.borrow_mut().says_leaving = leaving;
     }
 
-    /// When requests arrived, whether it ran them or not, but for those meant for another target.
-    pub fn arrivals(&self) -> Vec<Instant> {
+    /// It turns every request away with this `Retry-After`; none if absent.
+    pub fn set_rests(&self, retry_after: Option<&'static str>) {
+        self.shared.borrow_mut().rests = retry_after;
+    }
+
+    /// The requests that arrived, but for those meant for another target.
+    pub fn arrivals(&self) -> Vec<Arrival> {
         self.shared.borrow().arrivals.clone()
     }
 
@@ -268,11 +284,16 @@
         let names = &self.names.headers;
         let id: CompactString = header(&head.headers, &names.request_id).unwrap_or_default().into();
         let expected = header(&head.headers, &names.expect_target);
-        let fault = self.shared.borrow_mut().faults.pop_front();
+        let fault = self.next_fault();
         if fault == Some(TargetFault::OtherTarget) || expected != Some(self.id.as_str()) {
             return write(conn, &self.short(421, &id, "", "")).await;
         }
-        self.shared.borrow_mut().arrivals.push(Instant::now());
+        let retry_after = match fault {
+            Some(TargetFault::FullUntil(after)) => Some(after),
+            _ => None,
+        };
+        let arrival = Arrival { id: id.clone(), at: Instant::now(), retry_after };
+        self.shared.borrow_mut().arrivals.push(arrival);
         match fault {
             Some(TargetFault::Full) => return self.turn_away(conn, &id, "").await,
             Some(TargetFault::FullUntil(after)) => {
@@ -376,6 +397,11 @@
         write(conn, b"0\r\n\r\n").await
     }
 
+    fn next_fault(&self) -> Option<TargetFault> {
+        let mut shared = self.shared.borrow_mut();
+        shared.rests.map(TargetFault::FullUntil).or_else(|| shared.faults.pop_front())
+    }
+
     /// Answers that it did not run the request, with more headers.
     async fn turn_away(&self, conn: &mut Conn, id: &str, headers: &str) -> bool {
         let headers = format!("{}: 1\r\n{headers}", self.names.headers.not_run);
--- a/tests/test_gateway_notices.rs
+++ b/tests/test_gateway_notices.rs
@@ -196,7 +196,10 @@
         let rest = Duration::from_secs_f64(rest_s);
         // Requests that the same answers are for are on their way when the first one comes.
         let mut sent = 0;
-        let arrivals = || fleet.targets[0].arrivals()[before..].to_vec();
+        let arrivals = || {
+            let all = fleet.targets[0].arrivals();
+            all[before..].iter().map(|a| a.at).collect::<Vec<_>>()
+        };
         while arrivals().last().is_none_or(|last| *last < arrivals()[0] + rest) {
             let send = |n| {
                 let call = Call::get("/once/a").id(&format!("r{n}"));
