Callers of targets that rest come back after 150 ms at least, spread

Now the first time at which a target wants a request, 150 ms at the least, and up to as much again, at most 0.4 s, on top. resting_refusal_spread holds both ends.

--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -390,9 +390,7 @@
                 Some(Barred::Abroad) => Own::refusal("no_target_at_home", COME_BACK),
             })),
             Placement::Cold { room_in } => Err(Unplaced::Cold { room_in }),
-            Placement::Resting { wants_in } => {
-                Err(Unplaced::Refused(resting_refusal("targets_rest", wants_in)))
-            }
+            Placement::Resting { wants_in } => Err(Unplaced::Refused(resting_refusal(wants_in))),
             Placement::Busy { room_in_ms } => {
                 let after = Duration::from_secs_f64(room_in_ms / 1_000.0);
                 Err(Unplaced::Refused(Own::refusal("busy", after)))
--- a/src/gateway/refusal.rs
+++ b/src/gateway/refusal.rs
@@ -11,6 +11,8 @@
 pub const MOST_COME_BACK: Duration = Duration::from_secs(3);
 /// How far the times to come back for a cold target are spread, against the time itself.
 const COLD_SPREAD: f64 = 1.0;
+/// The shortest time to come back to targets that rest: other callers take the first room.
+const RESTING_LEAST: Duration = Duration::from_millis(150);
 /// How far the times to come back to targets that rest are spread, at most.
 const RESTING_SPREAD: Duration = Duration::from_millis(400);
 
@@ -55,7 +57,8 @@
 }
 
 /// Callers come back when the first target wants requests again, and not all at once.
-pub fn resting_refusal(reason: &'static str, wants_in: Duration) -> Own {
-    let spread = wants_in.min(RESTING_SPREAD).mul_f64(fastrand::f64());
-    Own::refusal(reason, wants_in + spread)
+pub fn resting_refusal(wants_in: Duration) -> Own {
+    let least = wants_in.max(RESTING_LEAST);
+    let spread = least.min(RESTING_SPREAD).mul_f64(fastrand::f64());
+    Own::refusal("targets_rest", least + spread)
 }
--- a/tests/test_gateway_decisions.rs
+++ b/tests/test_gateway_decisions.rs
@@ -8,6 +8,7 @@
 use kingcupwall::gateway::outcome::{Ended, Final, Made, Next, next};
 use kingcupwall::gateway::place::{Candidate, Demand, Placement, Weights, place};
 use kingcupwall::gateway::reach::ZoneRegions;
+use kingcupwall::gateway::refusal::resting_refusal;
 use kingcupwall::gateway::retries::{RetryAllowance, RetryShares};
 use kingcupwall::gateway::sse::Splitter;
 use kingcupwall::rows::StoreMs;
@@ -160,6 +161,22 @@
     assert_eq!(place(&candidates, &DEMAND, &Weights::default()), expected);
 }
 
+/// Guards against callers that come back before a target wants them, or all at once.
+#[rstest]
+#[case::known(3_000, 3_000, 3_400)]
+#[case::at_once(1, 150, 300)]
+fn resting_refusal_spread(#[case] wants_in_ms: u64, #[case] from_ms: u128, #[case] to_ms: u128) {
+    let after = || {
+        let own = resting_refusal(Duration::from_millis(wants_in_ms));
+        own.retry_after.unwrap().as_millis()
+    };
+    fastrand::seed(1);
+    let times: Vec<u128> = (0..100).map(|_| after()).collect();
+    assert!(times.iter().all(|ms| (from_ms..=to_ms).contains(ms)), "{times:?}");
+    let (least, most) = (times.iter().min().unwrap(), times.iter().max().unwrap());
+    assert!((most - least) * 2 > to_ms - from_ms, "{times:?}");
+}
+
 #[test]
 fn place_resting_never_chosen() {
     let resting = Candidate { resting: Some(Duration::from_millis(1)), ..candidate() };
