Test: a request does not leave for a target that has asked for no more since it chose it

The request waits for another router's word on a cold target, and in between the target says that it leaves, or asks for rest.

--- a/tests/test_gateway_notices.rs
+++ b/tests/test_gateway_notices.rs
@@ -5,12 +5,16 @@
 
 use futures_util::future::join_all;
 use kingcupwall::gateway::Platform;
+use kingcupwall::gateway::cold::{Owner, WarmUp};
+use kingcupwall::gateway::datagram::Topic;
 use kingcupwall::gateway::notice::{Notice, RetryAfter};
+use kingcupwall::gateway::warmup::Word;
 use kingcupwall::http1::ResponseHead;
-use kingcupwall::standin::gateway::{LEAVING, LocalPlatform};
+use kingcupwall::standin::gateway::{LEAVING, LocalPlatform, parts};
 use kingcupwall::standin::gateway_target::{StandinTarget, TargetFault};
 use rstest::rstest;
-use tokio::time::sleep;
+use tokio::net::UdpSocket;
+use tokio::time::{Instant, sleep};
 
 use crate::gatedir::{Call, Fleet, eventually, local};
 
@@ -277,3 +281,45 @@
         assert!(!fleet.router.log.take().contains("event=target_ended"));
     });
 }
+
+/// Guards against a request that leaves for a target which has asked for no more since the request
+/// chose it.
+#[rstest]
+#[case::it_leaves(Notice { leaving: true, retry_after: None })]
+#[case::it_rests(Notice { leaving: false, retry_after: delay(3_000) })]
+fn request_held_off_after_choice(#[case] notice: Notice) {
+    local(async {
+        let fleet = Fleet::start(1, 1_000).await;
+        let (gw, target) = (&fleet.router.gw, &fleet.targets[0]);
+        let mut warming = parts(2, 1_000);
+        let warm_up = WarmUp { lasts: Duration::from_secs(60), per_s: 4.0 };
+        warming.services[0].warm_up = Some(warm_up);
+        fleet.platform.configure(warming);
+        fleet.platform.register_cold(target, "ready", warm_up.lasts);
+        eventually("a cold target", || gw.targets.count_cold() == 1 && fleet.version() == 2).await;
+        // Another router admits requests to it: until that one answers, the request waits.
+        let other = UdpSocket::bind("127.0.0.1:0").await.unwrap();
+        let addr = other.local_addr().unwrap();
+        gw.set_peers(vec![addr.ip()]);
+        gw.cold.set_owners(vec![Owner {
+            instance: "r2".into(),
+            zone: "zone-1".into(),
+            addr,
+            capacity: 1,
+        }]);
+        let admits = async {
+            let mut buf = [0; 256];
+            let (n, from) = other.recv_from(&mut buf).await.unwrap();
+            let (_, word) = Topic::parse(&buf[..n]).unwrap();
+            let Word::Ask { number, .. } = ciborium::from_reader(word).unwrap() else { panic!() };
+            gw.targets.all()[0].standing.take(notice, Instant::now());
+            let mut word = Vec::new();
+            let answer = Word::Answer { number, room_in_ms: None };
+            ciborium::into_writer(&answer, &mut word).unwrap();
+            other.send_to(&Topic::Cold.frame(&word), from).await.unwrap();
+        };
+        let call = Call::get("/once/a");
+        let (got, ()) = tokio::join!(call.send(fleet.router.front), admits);
+        assert_eq!((got.status(), target.arrivals().len()), (503, 0));
+    });
+}
