--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -11,4 +11,6 @@
 pub mod routers;
 pub mod run;
 pub mod store;
+mod strikes;
+mod world;
 pub mod zones;
