Loans: a process never reuses the loan numbers of its predecessor

Cause: lenders answer, remind and acknowledge by datagram to an endpoint and name a loan by its number, which was unique within one process only. A reminder of the predecessor's loan 1 was taken for the answer to the successor's request 1. The lender never gave that loan, so the report on it was acknowledged and charged nowhere. In the other direction the successor's word that its loan 1 is unused made the lender ignore the successor's request 1 for five seconds. A late acknowledgement for the predecessor ended the reports on a loan of the successor.

Fix: each process counts its loan requests from a value derived from its incarnation, so that no number comes twice at an endpoint.

--- a/src/allowance/lending.rs
+++ b/src/allowance/lending.rs
@@ -256,6 +256,14 @@
     }
 
     fn handle_answer(&self, from: SocketAddr, process: u64, number: u64, answer: Answer) {
+        if !self.peers.has_requested(number) {
+            // The answer is for a predecessor, whose loans this process cannot report on.
+            let outcome = "not_requested";
+            return self.log.routine(
+                "loan",
+                format_args!("from={from} lender={process:x} number={number:x} outcome={outcome}"),
+            );
+        }
         // Recorded before the waiting request is notified: a duplicate of the answer may arrive
         // first and must find the loan in use.
         if answer == Answer::Lent && self.peers.is_pending(number) {
--- a/src/allowance/manager.rs
+++ b/src/allowance/manager.rs
@@ -267,6 +267,7 @@
 impl<S: RowStore> BudgetManager<S> {
     /// A budget manager for the process `me`.
     pub fn new(store: S, me: ProcessId, settings: BudgetSettings, log: Log) -> BudgetManager<S> {
+        let peers = Peers::new(me.incarnation);
         BudgetManager {
             store,
             me,
@@ -279,7 +280,7 @@
             calls_in_flight: Cell::new(0),
             routers: Cell::new(ROUTERS_WHEN_UNKNOWN),
             lenders: RefCell::default(),
-            peers: Peers::default(),
+            peers,
             urgent: Notify::new(),
             changed: Notify::new(),
             stopped: Cell::new(false),
--- a/src/allowance/peers.rs
+++ b/src/allowance/peers.rs
@@ -9,6 +9,7 @@
 
 use super::loans::{BorrowedLoans, LentLoans};
 use super::wire::Answer;
+use crate::ids::Digest;
 
 /// How long a router that did not answer is skipped. After that one request tries it again.
 const SKIP_FOR: Duration = Duration::from_millis(500);
@@ -32,7 +33,8 @@
     pub(super) lent: RefCell<LentLoans>,
     /// Loans that this router has taken.
     pub(super) borrowed: RefCell<BorrowedLoans>,
-    /// Number of the latest loan request.
+    /// Numbers before the first and of the latest loan request of this process.
+    base_number: u64,
     last_number: Cell<u64>,
     pending_loans: RefCell<Vec<Waiter>>,
     /// Routers that did not answer recently, and until when they are skipped.
@@ -45,6 +47,21 @@
 }
 
 impl Peers {
+    /// State of the process `incarnation`.
+    ///
+    /// Lenders answer to an endpoint, where a successor may receive what was meant for its
+    /// predecessor. Each process therefore numbers its loan requests from another value. The top
+    /// bit is left free, so that the numbers do not overflow.
+    pub(super) fn new(incarnation: u64) -> Peers {
+        let base_number = Digest::of(&incarnation.to_be_bytes()).first_u64() >> 1;
+        Peers { base_number, last_number: Cell::new(base_number), ..Peers::default() }
+    }
+
+    /// Whether this process has made the loan request `number`.
+    pub(super) fn has_requested(&self, number: u64) -> bool {
+        number > self.base_number && number <= self.last_number.get()
+    }
+
     /// Allocates the number of a loan request and the channel on which its answer will arrive.
     pub(super) fn register(&self) -> (u64, oneshot::Receiver<Answer>) {
         let number = self.last_number.get() + 1;
--- a/src/allowance/wire.rs
+++ b/src/allowance/wire.rs
@@ -1,8 +1,9 @@
 //! Messages between routers about budgets: one CBOR-encoded message in each datagram.
 //!
-//! Messages may be lost, delayed or duplicated. The number of a loan request is never reused by its
-//! sender, so a lender gives one loan for duplicate loan requests. Reports are cumulative, and the
-//! last report of a loan is sent until it is acknowledged.
+//! Messages may be lost, delayed or duplicated, and may arrive at a successor of the process that
+//! they were sent to. The number of a loan request is never reused at its endpoint, so a lender
+//! gives one loan for duplicate loan requests, and a process recognises answers to its predecessor.
+//! Reports are cumulative, and the last report of a loan is sent until it is acknowledged.
 
 use compact_str::CompactString;
 use serde::{Deserialize, Serialize};
@@ -19,7 +20,7 @@
 #[derive(Clone, Debug, Eq, PartialEq)]
 #[derive(Deserialize, Serialize)]
 pub struct LoanRequest {
-    /// Number of the loan, unique within the sender's process.
+    /// Number of the loan, unique at the sender's endpoint.
     pub number: u64,
     /// The organisation.
     pub org: CompactString,
--- a/tests/test_allowance_fleet_random.rs
+++ b/tests/test_allowance_fleet_random.rs
@@ -70,6 +70,21 @@
     ]
 }
 
+/// Steps of borrowers that are replaced while they have a few loans open, in a zone whose lenders
+/// are routers 0 and 1. Each request costs its maximum, so that charges for lost loans do not hide
+/// spending that is missing in the ledger.
+fn replace_step() -> impl Strategy<Value = Step> {
+    let borrower = 2..ROUTERS;
+    let requests = (borrower.clone(), 1_u64..3, 1_u64..300, 1_u64..3_000);
+    prop_oneof![
+        10 => requests.prop_map(|(r, n, m, ms)| Step::Requests(r, n, m, 100, ms)),
+        6 => (borrower.clone(), 0_u64..500).prop_map(|(r, ms)| Step::Kill(r, ms)),
+        2 => (0..ROUTERS).prop_map(Step::Restart),
+        1 => (0_u32..30, 0_u32..100).prop_map(|(l, d)| Step::NetworkFaults(l, d)),
+        4 => (1_u64..4_000).prop_map(Step::Wait),
+    ]
+}
+
 fn fault(n: u8) -> Fault {
     match n {
         0 => Fault::Reject(503),
@@ -155,6 +170,17 @@
         in_virtual_time(seed, run_schedule(prepaid, zones, &steps));
     }
 
+    /// Guards against spending that no ledger records because messages to a process reach its
+    /// successor.
+    #[test]
+    fn fleet_never_overspends_over_replacements(
+        prepaid in 1_000_u64..80_000,
+        steps in proptest::collection::vec(replace_step(), 1..60),
+        seed in any::<u64>(),
+    ) {
+        in_virtual_time(seed, run_schedule(prepaid, 1, &steps));
+    }
+
     #[test]
     fn rows_decode_arbitrary_bytes(bytes in proptest::collection::vec(any::<u8>(), 0..200)) {
         // Arbitrary bytes in a row must cause no panic and no partial result.
--- a/tests/test_allowance_lending.rs
+++ b/tests/test_allowance_lending.rs
@@ -352,3 +352,62 @@
         assert_eq!((row.closed.0, row.doubt.0), (fleet.spent.get(), 0), "{row:?}");
     });
 }
+
+/// Runs a fleet in which router 2 borrows `cost` tokens for `duration`, is killed at `killed_at`
+/// and started again, and then borrows again `pause` after that.
+async fn borrow_before_and_after_restart(
+    (cost, duration): (u64, Duration),
+    killed_at: Duration,
+    pause: Duration,
+    network: NetworkFaults,
+) -> std::rc::Rc<Fleet> {
+    let fleet = Fleet::start(3, 1, 1_000_000);
+    sleep(SECOND).await;
+    fleet.network.set(network);
+    fleet.request(2, cost, cost, duration);
+    sleep(killed_at).await;
+    fleet.kill(2);
+    fleet.start_router(2);
+    fleet.longest_wait.set(Duration::ZERO);
+    sleep(pause).await;
+    fleet.request(2, 300, 300, Duration::from_millis(50));
+    sleep(120 * SECOND).await;
+    fleet
+}
+
+/// Guards against spending that no ledger records: a lender reminds a restarted borrower of the
+/// loan of its predecessor, and the successor takes that for the answer to its own loan request.
+#[test]
+fn loans_reminder_after_borrower_restarts() {
+    for pause in (0..7_000).step_by(40) {
+        in_virtual_time(15, async move {
+            let pause = Duration::from_millis(pause);
+            let long = (40, 60 * SECOND);
+            let fleet =
+                borrow_before_and_after_restart(long, SECOND, pause, NetworkFaults::default())
+                    .await;
+            let row = fleet.ledger();
+            assert_eq!(row.closed.0, fleet.spent.get(), "{pause:?} {row:?}");
+            assert_eq!(fleet.refused.get(), 0, "{pause:?}");
+            let waited = fleet.longest_wait.get();
+            assert!(waited < Duration::from_millis(20), "{waited:?} after {pause:?}");
+        });
+    }
+}
+
+/// Guards against spending that no ledger records: a delayed acknowledgement of the predecessor's
+/// last report arrives at a restarted borrower, which stops reporting a loan of its own.
+#[test]
+fn loans_late_acknowledgement_after_borrower_restarts() {
+    for seed in 0..200 {
+        in_virtual_time(seed, async {
+            let network = NetworkFaults { lost_percent: 0, duplicated_percent: 100 };
+            let short = (40, Duration::from_millis(50));
+            let killed_at = Duration::from_millis(100);
+            let fleet =
+                borrow_before_and_after_restart(short, killed_at, Duration::ZERO, network).await;
+            let row = fleet.ledger();
+            assert_eq!(row.closed.0, fleet.spent.get(), "{row:?}");
+        });
+    }
+}
