Tests: crash_reported_by_late_write decides when the late write takes effect

Cause: the test let 0.7 s of real time pass between the crash and the restart, and wanted a write that takes effect 1.5 s after it was sent to come later than that. If the process gets no processor time for long enough during these 0.7 s, both timers end together and the successor reads the write at once.

Change: the store stand-in holds the dead router's writes until the test lets them take effect (Fault::Held). The test waits for the write of the row, and later for the renewal of the row, instead of letting time pass. Every check stays: recorded, not reported before the late write, reported after it, reported after a second restart.

--- a/src/rows/memory.rs
+++ b/src/rows/memory.rs
@@ -34,6 +34,9 @@
     /// Transactions are not answered, and take effect after this delay if their conditions still
     /// hold.
     Late(Duration),
+    /// Transactions are not answered, and take effect on [`MemoryRows::release_held`] if their
+    /// conditions still hold.
+    Held,
 }
 
 #[derive(Debug, Default)]
@@ -131,6 +134,8 @@
 pub struct MemoryRows {
     shared: Rc<Shared>,
     fault: Rc<RefCell<Fault>>,
+    /// Transactions that [`Fault::Held`] keeps from taking effect.
+    held: Rc<RefCell<Vec<Tx>>>,
     link: Rc<Link>,
 }
 
@@ -149,12 +154,17 @@
             changed: Notify::new(),
             start: Instant::now(),
         };
-        MemoryRows { shared: Rc::new(shared), fault: Rc::default(), link: Rc::new(Link::new()) }
+        MemoryRows::client_of(Rc::new(shared))
     }
 
     /// A handle for another client of the same rows, with its own fault and link.
     pub fn new_client(&self) -> MemoryRows {
-        MemoryRows { shared: self.shared.clone(), fault: Rc::default(), link: Rc::new(Link::new()) }
+        MemoryRows::client_of(self.shared.clone())
+    }
+
+    fn client_of(shared: Rc<Shared>) -> MemoryRows {
+        let (fault, held) = (Rc::default(), Rc::default());
+        MemoryRows { shared, fault, held, link: Rc::new(Link::new()) }
     }
 
     /// Limits the link of this client to `bytes_per_s` bytes of values a second.
@@ -172,6 +182,20 @@
         *self.fault.borrow_mut() = fault;
     }
 
+    /// Number of held transactions that write to a table.
+    pub fn held_writes(&self, table: &str) -> usize {
+        let writes = |tx: &&Tx| tx.write.iter().any(|(at, _)| at.table == table);
+        self.held.borrow().iter().filter(writes).count()
+    }
+
+    /// Lets the held transactions take effect in the order in which they arrived.
+    pub fn release_held(&self) {
+        for tx in self.held.take() {
+            // The conditions of a late write usually no longer hold.
+            drop(self.apply(&tx));
+        }
+    }
+
     /// Sets the partitions that do not answer, in all tables.
     pub fn set_unresponsive(&self, partitions: &[&str]) {
         let mut unresponsive: Vec<CompactString> = partitions.iter().map(|p| (*p).into()).collect();
@@ -310,6 +334,10 @@
             });
             return time_out().await;
         }
+        if self.fault() == Fault::Held {
+            self.held.borrow_mut().push(tx.clone());
+            return time_out().await;
+        }
         if let Fault::Slow(delay) = self.fault() {
             tokio::time::sleep(delay).await;
         }
--- a/tests/test_gateway_fatal.rs
+++ b/tests/test_gateway_fatal.rs
@@ -5,7 +5,7 @@
 use kingcupwall::gateway::liveness::Liveness;
 use kingcupwall::gateway::quarantine::CRASHES_TO_QUARANTINE;
 use kingcupwall::http1::Conn;
-use kingcupwall::rows::Fault;
+use kingcupwall::rows::{Fault, MemoryRows, RowKey};
 use kingcupwall::standin::gateway::{LocalPlatform, catalog_parts};
 use kingcupwall::standin::gateway_host::GatewayHost;
 use kingcupwall::standin::gateway_target::{FATAL_BODY, StandinTarget, TargetFault};
@@ -354,32 +354,46 @@
     });
 }
 
+/// A fleet in which the first router records a crash and then dies, with the write of its row on
+/// the way, and was replaced. Also returns the dead router's client of the store, which holds that
+/// write.
+async fn replace_router_with_held_row() -> (Fleet, MemoryRows) {
+    let mut fleet = Fleet::start().await;
+    let rows = fleet.routers[0].platform.rows.clone();
+    rows.set_fault(Fault::Held);
+    fleet.send_fatal(0).await;
+    eventually("recording the crash", || has_crash_report(&fleet.routers[0])).await;
+    let held = rows.held_writes("routers");
+    eventually("the write of the row", || rows.held_writes("routers") > held).await;
+    fleet.routers.drain(..).for_each(GatewayHost::kill);
+    fleet.start_routers(2).await;
+    assert!(!fleet.routers.iter().any(has_crash_report));
+    (fleet, rows)
+}
+
+fn has_crash_report(r: &GatewayHost) -> bool {
+    r.gw.crashes.report(r.gw.budget_shares.store_now()).crashes.len() == 1
+}
+
 #[test]
 fn crash_reported_by_late_write() {
     // Guards against losing a crash because the last write of a killed router's row takes effect
     // only after its successor has read the row.
     run_local(async {
-        let late = Duration::from_millis(1_500);
-        let mut fleet = Fleet::start().await;
-        fleet.routers[0].platform.rows.set_fault(Fault::Late(late));
-        fleet.send_fatal(0).await;
-        let reported = |r: &GatewayHost| {
-            r.gw.crashes.report(r.gw.budget_shares.store_now()).crashes.len() == 1
-        };
-        eventually("recording the crash", || reported(&fleet.routers[0])).await;
-        // By then the write of the row has been sent.
-        tokio::time::sleep(Duration::from_millis(700)).await;
-        fleet.routers.drain(..).for_each(GatewayHost::kill);
-        fleet.start_routers(2).await;
-        assert!(!fleet.routers.iter().any(reported));
-        tokio::time::sleep(late).await;
-        eventually("the crash report of the successor", || reported(&fleet.routers[0])).await;
+        let (mut fleet, rows) = replace_router_with_held_row().await;
+        rows.release_held();
+        let row = RowKey::new("routers", "r1");
+        let late_row = rows.peek(&row);
+        eventually("the crash report of the successor", || has_crash_report(&fleet.routers[0]))
+            .await;
         // The successor's own row contains the crash from the next renewal on.
-        tokio::time::sleep(Duration::from_millis(2_200)).await;
+        eventually("the renewal of the row", || rows.peek(&row) != late_row).await;
         fleet.routers.drain(..).for_each(GatewayHost::kill);
         fleet.start_routers(3).await;
-        eventually("the crash report after the second restart", || reported(&fleet.routers[0]))
-            .await;
+        eventually("the crash report after the second restart", || {
+            has_crash_report(&fleet.routers[0])
+        })
+        .await;
     });
 }
 
