Members: a renewal does not overwrite a late write that was not read

What callers could see: a crash of a target is forgotten, so a request that ends targets may end one more. Seen in a test only: found while asking what else could make crash_reported_by_late_write fail.

Cause: a router's row, which keeps its crashes, was renewed without a condition. The last write of a killed predecessor could take effect between the successor's read of the row and its write, and was then overwritten unread.

Evidence: crash_reported_by_late_write_during_renewal holds both writes in the store stand-in and lets them take effect in that order; before this change "the crash report of the successor did not happen".

Fix: a renewal expects the version that was read; if another write came in between, the row is read again after 50 ms. A write with new crashes or completions still has no condition: with one, the late write of a killed router would be refused once its successor has written, and that crash lost for certain (crash_reported_by_late_write).

Elsewhere: ledgers and spending rows always expect the version read; no other row is written by routers.

--- a/src/gateway/members.rs
+++ b/src/gateway/members.rs
@@ -15,7 +15,7 @@
 use super::state::{Gateway, Phase, Platform};
 use crate::allowance::Lender;
 use crate::error::{Error, Kind, Result};
-use crate::rows::{Page, Row, RowKey, StoreMs, Tx};
+use crate::rows::{Page, Row, RowKey, StoreError, StoreMs, Tx, Ver};
 
 /// The table of routers.
 const TABLE: &str = "routers";
@@ -29,6 +29,8 @@
 
 /// Number of reads after which all live routers have renewed their rows.
 const MIN_READS: u32 = 3;
+/// Delay before a renewal that found a late write of the predecessor is repeated.
+const CONFLICT_RETRY_DELAY: Duration = Duration::from_millis(50);
 /// Maximum time a router takes to read the table and renew its row, in milliseconds.
 const MAX_RENEWAL_MS: u64 = 500;
 
@@ -74,6 +76,13 @@
     }
 }
 
+/// This router's row as last read. It may be its predecessor's, and is empty before the first write.
+#[derive(Debug, Default)]
+struct OwnRow {
+    ver: Ver,
+    report: CrashReport,
+}
+
 /// The row of another router, and the age of its content.
 struct PeerRow {
     instance: CompactString,
@@ -108,6 +117,7 @@
     publish(&gw, &[]);
     let mut rate_since = Instant::now();
     loop {
+        let mut next_renewal = RENEWAL_INTERVAL;
         let s = rate_since.elapsed().as_secs_f64();
         if s >= RENEWAL_INTERVAL.as_secs_f64() / 2.0 {
             gw.requests_per_s.set((f64::from(gw.requests_since_sample.replace(0)) / s) as u32);
@@ -120,8 +130,10 @@
         match gw.platform.scan(TABLE, "").await {
             Ok(page) => {
                 reads.record_read(page.now);
-                apply_rows(&gw, &page, &reads);
-                renew(&gw, page.now).await;
+                let own = apply_rows(&gw, &page, &reads);
+                if !renew(&gw, page.now, own).await {
+                    next_renewal = CONFLICT_RETRY_DELAY;
+                }
             }
             Err(e) => gw.log.routine("members", format_args!("outcome=unread cause={e}")),
         }
@@ -136,7 +148,7 @@
             }
         };
         // The row is also renewed if nothing changes.
-        let _ = tokio::time::timeout(RENEWAL_INTERVAL, changed).await;
+        let _ = tokio::time::timeout(next_renewal, changed).await;
     }
 }
 
@@ -188,7 +200,9 @@
     }
 }
 
-async fn renew<P: Platform>(gw: &Gateway<P>, store_time: StoreMs) {
+/// Writes this router's row, which was `own` when it was read. Returns false if another write came
+/// in between.
+async fn renew<P: Platform>(gw: &Gateway<P>, store_time: StoreMs, own: OwnRow) -> bool {
     let s = &gw.settings;
     let leaving = *gw.phase.borrow() != Phase::Up;
     let entry = Entry {
@@ -202,14 +216,25 @@
         report: gw.crashes.report(store_time),
     };
     let at = RowKey::new(TABLE, &s.instance);
-    let tx = Tx { write: vec![(at, entry.encode())], ..Tx::default() };
+    // A late write of the predecessor must be read before it is overwritten: its crashes may be
+    // nowhere else. For the same reason new crashes are written in any case, so that they reach the
+    // successor of this process even if it writes first.
+    let has_news = !own.report.includes(&entry.report);
+    let expect = if has_news { Vec::new() } else { vec![(at.clone(), own.ver)] };
+    let tx = Tx { expect, write: vec![(at, entry.encode())], ..Tx::default() };
     match gw.platform.commit(&tx).await {
         Ok(done) => gw.budget_shares.observe_store_time(done.now),
+        Err(StoreError::Conflict(_)) => {
+            gw.log.note("members", format_args!("outcome=late_write read_ver={}", own.ver));
+            return false;
+        }
         Err(e) => gw.log.routine("members", format_args!("outcome=unwritten cause={e}")),
     }
+    true
 }
 
-fn apply_rows<P: Platform>(gw: &Gateway<P>, page: &Page, reads: &TableReads) {
+/// Applies all rows, and returns this router's own.
+fn apply_rows<P: Platform>(gw: &Gateway<P>, page: &Page, reads: &TableReads) -> OwnRow {
     let decode_row = |row: &Row| match Entry::decode(row) {
         Ok(entry) => {
             let age_ms = page.now.0.saturating_sub(entry.beat.0);
@@ -255,6 +280,11 @@
     let advertised = live.iter().filter(|o| o.age_ms < max_advertised_age_ms);
     let advertised: Vec<RouterEntry> = advertised.map(|o| o.entry.as_router()).collect();
     publish(gw, &advertised);
+    // The version is needed even if the row cannot be decoded.
+    let is_own = |row: &&Row| row.at.key == gw.settings.instance;
+    let ver = page.rows.iter().find(is_own).map_or(Ver::default(), |row| row.ver);
+    let report = own.into_iter().next().map(|o| o.entry.report).unwrap_or_default();
+    OwnRow { ver, report }
 }
 
 /// Routers that are not leaving may own cold targets. This router is included once its own row was
--- a/src/gateway/quarantine.rs
+++ b/src/gateway/quarantine.rs
@@ -99,6 +99,14 @@
     pub ended_well: Vec<Completion>,
 }
 
+impl CrashReport {
+    /// Whether this report includes all events of `other`.
+    pub fn includes(&self, other: &CrashReport) -> bool {
+        other.crashes.iter().all(|c| self.crashes.contains(c))
+            && other.ended_well.iter().all(|c| self.ended_well.contains(c))
+    }
+}
+
 /// Which router observed an event. A router keeps reporting its own events, which include those of
 /// an earlier process of the same instance.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
--- a/tests/test_gateway_fatal.rs
+++ b/tests/test_gateway_fatal.rs
@@ -397,6 +397,23 @@
     });
 }
 
+#[test]
+fn crash_reported_by_late_write_during_renewal() {
+    // Guards against losing a crash because the last write of a killed router's row takes effect
+    // after its successor has read the row, and before the successor's own write.
+    run_local(async {
+        let (fleet, rows) = replace_router_with_held_row().await;
+        let own_rows = fleet.routers[0].platform.rows.clone();
+        own_rows.set_fault(Fault::Held);
+        eventually("the renewal of the row", || own_rows.held_writes("routers") > 0).await;
+        rows.release_held();
+        own_rows.set_fault(Fault::None);
+        own_rows.release_held();
+        eventually("the crash report of the successor", || has_crash_report(&fleet.routers[0]))
+            .await;
+    });
+}
+
 #[test]
 fn connect_failed_ended_only_if_refused() {
     let liveness = Liveness::default();
