Budgets: a planned stop leaves all spending of predecessors to its successor

What callers could see: part of an organisation's budget can no longer be spent, so requests are refused in vain (503, budget_not_here) until the budget is raised.

Cause: a process that starts after a crash and is stopped before it has read the configuration knows spending of its predecessor for which it has no organisation yet. Its farewell cleared the row and wrote only the spending of known organisations. No later process closes the grant then.

Found by asking which spending is carried through two stops in a row while tracing fleet_never_overspends; not the cause there, where all processes know the organisation.

Fix: the farewell writes both lists, as each renewal does.

--- a/src/allowance/calls.rs
+++ b/src/allowance/calls.rs
@@ -527,17 +527,19 @@
     /// A grant whose write is unresolved may still take effect, and no process would close it once
     /// the row is cleared; the row is left as it is then.
     pub(super) async fn clear_spending(&self) {
-        let (owned, number, expect) = {
-            let spending_row = self.spending_row.borrow();
-            (spending_row.owned, spending_row.number + 1, spending_row.ver)
+        let (owned, number, expect, unassigned) = {
+            let row = self.spending_row.borrow();
+            (row.owned, row.number + 1, row.ver, row.unassigned.clone())
         };
         let unresolved = self.org_states.borrow().iter().any(|s| s.account.has_pending_change());
         if !owned || unresolved {
             return;
         }
         let mut cleared = Spending::new(self.me.incarnation, number);
-        cleared.predecessors =
-            self.org_states.borrow().iter().flat_map(|s| s.predecessors.iter().cloned()).collect();
+        cleared.predecessors = unassigned;
+        let org_states = self.org_states.borrow();
+        cleared.predecessors.extend(org_states.iter().flat_map(|s| s.predecessors.iter().cloned()));
+        drop(org_states);
         if let Err(e) = self.store.commit(&self.spending_tx(&cleared, expect)).await {
             self.log.note("spending", format_args!("outcome=farewell_failed cause={e}"));
         }
--- a/tests/test_allowance_death.rs
+++ b/tests/test_allowance_death.rs
@@ -7,7 +7,7 @@
 
 use kingcupwall::allowance::Ledger;
 use kingcupwall::ids::Tokens;
-use kingcupwall::rows::{Fault, MemoryRows, RowStore};
+use kingcupwall::rows::{Fault, MemoryRows, RowKey, RowStore};
 use rstest::rstest;
 use tokio::task::{LocalSet, spawn_local};
 use tokio::time::sleep;
@@ -187,3 +187,31 @@
         );
     });
 }
+
+/// Guards against tokens that stay granted to a dead process for good: its successor is stopped
+/// before it has read the configuration, and must leave the dead process's spending to the next.
+#[test]
+fn ledger_closed_after_stop_without_configuration() {
+    in_virtual_time(async {
+        let store = MemoryRows::new();
+        let start = |incarnation, org| {
+            ManagerHost::start(store.new_client(), (0, incarnation), 1, 11_000, (org, PREPAID))
+        };
+        let wait = || sleep(Duration::from_secs(3));
+        let ledger = || {
+            let value = store.peek(&RowKey::own_partition("budgets", ORG));
+            Ledger::decode(&value.expect("the organisation has a ledger")).unwrap()
+        };
+        let killed = start(1, ORG);
+        drop(killed.manager.reserve_tokens(ORG, Tokens(PROMPT)).await.unwrap());
+        wait().await;
+        killed.kill();
+        let stopped = start(2, "another organisation");
+        wait().await;
+        stopped.stop().await;
+        assert_eq!(ledger().grants.len(), 1);
+        let _last = start(3, ORG);
+        wait().await;
+        assert!(ledger().grants.is_empty(), "{:?}", ledger());
+    });
+}
