--- a/src/allowance/calls.rs
+++ b/src/allowance/calls.rs
@@ -536,10 +536,9 @@
             return;
         }
         let mut cleared = Spending::new(self.me.incarnation, number);
-        cleared.predecessors = unassigned;
-        let org_states = self.org_states.borrow();
-        cleared.predecessors.extend(org_states.iter().flat_map(|s| s.predecessors.iter().cloned()));
-        drop(org_states);
+        let assigned: Vec<PredecessorSpending> =
+            self.org_states.borrow().iter().flat_map(|s| s.predecessors.iter().cloned()).collect();
+        cleared.predecessors = [unassigned, assigned].concat();
         if let Err(e) = self.store.commit(&self.spending_tx(&cleared, expect)).await {
             self.log.note("spending", format_args!("outcome=farewell_failed cause={e}"));
         }
