Tests: the restart of all routers waits for the renewal of their rows

With a pause of 2.6 s of the process in this time, 12 of 12 plays failed ("12 targets ended"), since the rows were not renewed. That is no fault of the product: crashes are then lost with all routers that knew of them.

The test now waits until the rows of both routers are written again; its check stays. With the same pause 24 of 24 plays hold, without one 60 of 60.

--- a/tests/test_gateway_fatal.rs
+++ b/tests/test_gateway_fatal.rs
@@ -51,6 +51,15 @@
         }
     }
 
+    /// Waits until each router has written its row with all crashes that it has seen by now.
+    async fn wait_for_renewal_of_rows(&self) {
+        for name in ["r1", "r2"] {
+            let row = RowKey::new("routers", name);
+            let before = self.platform.rows.peek(&row);
+            eventually("the renewal of a row", || self.platform.rows.peek(&row) != before).await;
+        }
+    }
+
     fn ended(&self) -> usize {
         self.targets.iter().filter(|t| t.has_crashed()).count()
     }
@@ -110,8 +119,7 @@
             fleet.send_fatal(n).await;
         }
         for incarnation in 2..=3 {
-            // Longer than a router takes to renew its row.
-            tokio::time::sleep(Duration::from_millis(2_500)).await;
+            fleet.wait_for_renewal_of_rows().await;
             fleet.routers.drain(..).for_each(GatewayHost::kill);
             fleet.start_routers(incarnation).await;
             for n in 0..MAX_ENDED_TARGETS {
