Tests: the check of Retry-After beside a fatal request sees any quarantine

fatal_request_with_concurrent_streams compared the Retry-After of a refused stream with 3600.000 to the millisecond. The quarantined streams of the traced plays were told 3599.989 and less, so the check could not fail; only the count of served streams did. Stricter: every answer that failed the old check fails the new one.

--- a/tests/test_gateway_fatal.rs
+++ b/tests/test_gateway_fatal.rs
@@ -17,6 +17,10 @@
 /// that.
 const MAX_ENDED_TARGETS: usize = 3 + 3;
 
+/// Longest time in seconds for which a request that crashes no target may be refused: the time by
+/// which the routers' reports have arrived.
+const MAX_HELD_BACK_S: f64 = 3.0;
+
 /// Two routers, and more targets than one request may crash.
 struct Fleet {
     platform: LocalPlatform,
@@ -169,7 +173,8 @@
                 if got.status() == 200 && got.is_complete {
                     return true;
                 }
-                assert_ne!(got.header("Retry-After"), Some("3600.000"));
+                let retry_after = got.header("Retry-After").map(|s| s.parse::<f64>().unwrap());
+                assert!(retry_after.is_none_or(|s| s <= MAX_HELD_BACK_S), "{retry_after:?}");
                 tokio::time::sleep(Duration::from_millis(10)).await;
             }
             false
