Tests: a successor does not answer for its predecessor's loans

What it guards is traffic and logs, no tokens: the lender keeps loans under their borrower's incarnation."

--- a/tests/lending_fleet.rs
+++ b/tests/lending_fleet.rs
@@ -53,6 +53,8 @@
     pub isolated: RefCell<Vec<usize>>,
     /// The network's faults.
     pub network: Cell<NetworkFaults>,
+    /// Number of datagrams that each router has sent.
+    pub sent: RefCell<Vec<u64>>,
     /// Tokens that callers received.
     pub spent: Cell<u64>,
     /// Number of refused requests.
@@ -85,6 +87,7 @@
             hosts: RefCell::new((0..routers).map(|_| None).collect()),
             isolated: RefCell::default(),
             network: Cell::default(),
+            sent: RefCell::new(vec![0; routers]),
             spent: Cell::new(0),
             refused: Cell::new(0),
             refused_as_spent: Cell::new(0),
@@ -264,6 +267,7 @@
     loop {
         for out in manager.outgoing().await {
             let network = fleet.network.get();
+            fleet.sent.borrow_mut()[from] += 1;
             if fastrand::u32(..100) >= network.lost_percent {
                 spawn_local(fleet.clone().deliver(from, out.clone(), DATAGRAM_LATENCY));
             }
--- a/tests/test_allowance_lending.rs
+++ b/tests/test_allowance_lending.rs
@@ -395,6 +395,26 @@
     }
 }
 
+/// Guards against telling a lender about a loan of another process: a successor has no part in the
+/// loans of its predecessor, which the lender writes off once it has heard nothing for long.
+#[test]
+fn loans_reminder_not_answered_by_successor() {
+    in_virtual_time(16, async {
+        let fleet = Fleet::start(3, 1, 1_000_000);
+        sleep(SECOND).await;
+        fleet.request(2, 40, 40, 60 * SECOND);
+        sleep(SECOND).await;
+        fleet.kill(2);
+        fleet.start_router(2);
+        let before = fleet.sent.borrow().clone();
+        sleep(60 * SECOND).await;
+        let after = fleet.sent.borrow().clone();
+        let lenders_sent = after[0] + after[1] - before[0] - before[1];
+        assert!(lenders_sent >= 15, "{lenders_sent} reminders");
+        assert_eq!(after[2], before[2]);
+    });
+}
+
 /// Guards against spending that no ledger records: a delayed acknowledgement of the predecessor's
 /// last report arrives at a restarted borrower, which stops reporting a loan of its own.
 #[test]
