Loans: the log line of a foreign answer writes the number as others do

Found on the last reading: event=loan outcome=not_requested wrote the loan's number in hexadecimal, outcome=lost writes it in decimal, so one could not be found by the other. One format of a log line; no behaviour changes.

--- a/src/allowance/lending.rs
+++ b/src/allowance/lending.rs
@@ -261,7 +261,7 @@
             let outcome = "not_requested";
             return self.log.routine(
                 "loan",
-                format_args!("from={from} lender={process:x} number={number:x} outcome={outcome}"),
+                format_args!("from={from} lender={process:x} number={number} outcome={outcome}"),
             );
         }
         // Recorded before the waiting request is notified: a duplicate of the answer may arrive
