Targets: log and count why a connection could not be opened

A send that ended NotSent did not say whether the target refused the connection, did not answer or was out of reach, and nothing counted the connections that were opened. So the logs of the routers that lost their links could not tell a target that is gone from a router that is cut off.

event=connect with outcome and error, target_connects_total{reason}.

--- a/src/gateway/send.rs
+++ b/src/gateway/send.rs
@@ -16,7 +16,7 @@
 use super::reply::{RemainingBody, Reply, StreamProgress};
 use super::request::{AddedHeaders, HeaderNames, encode_request};
 use super::state::Platform;
-use super::stats::count_notice;
+use super::stats::{connect_outcome, count_connect, count_notice};
 use crate::http1::{BodyDecoder, Conn, HeadError, ResponseHead, header};
 use crate::ids::Tokens;
 
@@ -47,16 +47,7 @@
         let pooled = backend.pool.borrow_mut().take();
         let mut target_conn = match pooled {
             Some(target_conn) => target_conn,
-            None => match dial(backend.addr()).await {
-                Ok(target_conn) => {
-                    backend.process_state.mark_alive();
-                    target_conn
-                }
-                Err(e) => {
-                    backend.process_state.connect_failed(&e);
-                    return Err(SendOutcome::NotSent);
-                }
-            },
+            None => self.connect(backend).await?,
         };
         if let Err(held_off) = self.check_before_send(backend).await {
             target_conn.return_to(&mut backend.pool.borrow_mut());
@@ -99,6 +90,29 @@
         }
     }
 
+    /// Opens a connection to the target.
+    ///
+    /// # Errors
+    /// `NotSent`.
+    async fn connect(&self, backend: &Backend) -> Result<TargetConn, SendOutcome> {
+        let began = Instant::now();
+        let dialled = dial(backend.addr()).await;
+        count_connect(&self.gw.stats, &dialled);
+        dialled.inspect(|_| backend.process_state.mark_alive()).map_err(|e| {
+            let (id, target, ms) = (&self.meta.id, backend.id(), began.elapsed().as_millis());
+            let outcome = connect_outcome(&e);
+            self.gw.log.note(
+                "connect",
+                format_args!(
+                    "id={id} target={target} outcome={outcome} error={:?} ms={ms}",
+                    e.to_string()
+                ),
+            );
+            backend.process_state.connect_failed(&e);
+            SendOutcome::NotSent
+        })
+    }
+
     /// Checks the target again right before a send, since its state may have changed after it was
     /// selected. Every send passes this check.
     ///
--- a/src/gateway/stats.rs
+++ b/src/gateway/stats.rs
@@ -1,5 +1,7 @@
 //! Functions that map outcomes to metrics.
 
+use std::io;
+
 use super::notice::{Notice, RetryAfter};
 use super::outcome::SendOutcome;
 use crate::stats::{OutcomeLabels, ReasonLabel, Stats};
@@ -24,6 +26,21 @@
     stats.sends.get_or_create(&ReasonLabel { reason }).inc();
 }
 
+/// Name of the outcome of a connection attempt to a target, for metrics and logs.
+pub fn connect_outcome(e: &io::Error) -> &'static str {
+    match e.kind() {
+        io::ErrorKind::ConnectionRefused => "refused",
+        io::ErrorKind::TimedOut => "timed_out",
+        _ => "failed",
+    }
+}
+
+/// Counts a connection attempt to a target.
+pub fn count_connect<T>(stats: &Stats, outcome: &io::Result<T>) {
+    let reason = outcome.as_ref().err().map_or("opened", connect_outcome);
+    stats.target_connects.get_or_create(&ReasonLabel { reason }).inc();
+}
+
 /// Counts what an answer reports about its target.
 pub fn count_notice(stats: &Stats, notice: Notice) {
     let count = |reason| {
--- a/src/stats.rs
+++ b/src/stats.rs
@@ -35,6 +35,8 @@
     pub requests: Family<OutcomeLabels, Counter>,
     /// Attempts to send a request to a target that failed, by outcome.
     pub sends: Family<ReasonLabel, Counter>,
+    /// Attempts to connect to a target, by outcome.
+    pub target_connects: Family<ReasonLabel, Counter>,
     /// Requests whose target crashed while it executed them.
     pub target_crashes: Counter,
     /// Requests in quarantine because targets crashed while they executed them.
@@ -94,6 +96,12 @@
             "Failed attempts to send a request to a target, by outcome",
             sends.clone(),
         );
+        let target_connects = Family::default();
+        registry.register(
+            "target_connects",
+            "Attempts to connect to a target, by outcome",
+            target_connects.clone(),
+        );
         let target_crashes = Counter::default();
         registry.register(
             "targets_ended",
@@ -204,6 +212,7 @@
             registry: Arc::new(registry),
             requests,
             sends,
+            target_connects,
             target_crashes,
             quarantined_requests,
             caller_disconnects,
