--- a/soak/src/fault_injection.rs
+++ b/soak/src/fault_injection.rs
@@ -6,13 +6,13 @@
 use fastrand::Rng;
 use kingcupwall::rows::Fault as StoreFault;
 use kingcupwall::standin::gateway_target::StandinTarget;
+use kingcupwall::standin::proxy::{LinkMode, Proxy};
 use rustix::process::Signal;
 use tokio::task::spawn_local;
 use tokio::time::{Instant, sleep};
 
 use crate::faults::{Fault, FleetSize, random_fault};
 use crate::notices::{self, Disturbance};
-use crate::proxy::{LinkMode, Proxy};
 use crate::routers::RouterProcess;
 use crate::testbed::{PREPAID_TOKENS, START_TIMEOUT, Setup, TARGET_COUNT, Testbed};
 
--- a/soak/src/faults.rs
+++ b/soak/src/faults.rs
@@ -6,8 +6,7 @@
 use fastrand::Rng;
 use kingcupwall::rows::Fault as StoreFault;
 use kingcupwall::standin::gateway_target::TargetFault;
-
-use crate::proxy::LinkMode;
+use kingcupwall::standin::proxy::LinkMode;
 
 /// A fault, or an operation that operators perform while faults occur. Routers, targets and
 /// organisations are given by their index.
--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -10,7 +10,6 @@
 mod fault_injection;
 pub mod faults;
 pub mod notices;
-pub mod proxy;
 pub mod routers;
 pub mod run;
 pub mod store;
--- a/soak/src/testbed.rs
+++ b/soak/src/testbed.rs
@@ -10,6 +10,7 @@
 use eyre::{Result, eyre};
 use kingcupwall::rows::{MemoryRows, RowStore};
 use kingcupwall::standin::gateway_target::{StandinTarget, TOKENS_PER_EVENT, TargetNames};
+use kingcupwall::standin::proxy::Proxy;
 use kingcupwall_platform::names;
 use serde_json::json;
 use tokio::net::TcpListener;
@@ -19,7 +20,6 @@
 
 use crate::callers::{Callers, HOST, RequestKind, SEAL_HEADER};
 use crate::notices::Disturbance;
-use crate::proxy::Proxy;
 use crate::routers::RouterProcess;
 use crate::store;
 use crate::zones;
--- a/src/standin/gateway.rs
+++ b/src/standin/gateway.rs
@@ -118,6 +118,8 @@
     pub rows: MemoryRows,
     configs: Rc<RefCell<Vec<CatalogParts>>>,
     names: Rc<HeaderNames>,
+    /// Targets that this client reaches at other addresses than their entries state.
+    links: Rc<Vec<(CompactString, SocketAddr)>>,
 }
 
 impl Default for LocalPlatform {
@@ -133,6 +135,7 @@
             rows: MemoryRows::new(),
             configs: Rc::default(),
             names: Rc::new(header_names()),
+            links: Rc::default(),
         }
     }
 
@@ -141,6 +144,12 @@
         LocalPlatform { rows: self.rows.new_client(), ..self.clone() }
     }
 
+    /// The same platform for a router that reaches some targets, given by their ids, at other
+    /// addresses than their entries state.
+    pub fn with_links(&self, links: Vec<(CompactString, SocketAddr)>) -> LocalPlatform {
+        LocalPlatform { links: Rc::new(links), ..self.clone() }
+    }
+
     /// Publishes a configuration.
     pub fn configure(&self, parts: CatalogParts) {
         self.configure_large(parts, 0);
@@ -241,10 +250,12 @@
             let parse = |v: &&str| v.parse().map_err(|_| bad_format("target row: invalid number"));
             optional.get(i).map(parse).transpose()
         };
+        let stated = addr.parse().map_err(|_| bad_format("target row: invalid address"))?;
+        let link = self.links.iter().find(|(target, _)| target == id);
         Ok(TargetInfo {
             id: id.into(),
             service: service.into(),
-            addr: addr.parse().map_err(|_| bad_format("target row: invalid address"))?,
+            addr: link.map_or(stated, |(_, addr)| *addr),
             zone: zone.into(),
             slots: slots.parse().map_err(|_| bad_format("target row: invalid slots"))?,
             state: if state == "ready" { TargetState::Ready } else { TargetState::Draining },
--- a/src/standin/mod.rs
+++ b/src/standin/mod.rs
@@ -10,6 +10,7 @@
 pub mod local;
 pub mod local_fleet;
 pub mod platform;
+pub mod proxy;
 pub mod target;
 
 use std::net::SocketAddr;
--- a/soak/src/proxy.rs
+++ b/src/standin/proxy.rs
@@ -1,24 +1,30 @@
 //! A loopback proxy that can delay connections, reset them, stall them in one or both directions,
-//! and limit their bandwidth.
+//! limit their bandwidth, and refuse or ignore new ones.
 
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
-use eyre::Result;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::watch;
 use tokio::task::spawn_local;
-use tokio::time::{Instant, sleep, sleep_until};
+use tokio::time::{Instant, sleep, sleep_until, timeout};
+
+use crate::error::Result;
 
 /// Maximum number of bytes that are forwarded at once.
 const CHUNK_BYTES: usize = 16 * 1024;
 /// Pause between two checks whether a stalled link forwards bytes again.
 const STALL_POLL: Duration = Duration::from_millis(10);
 
+/// Connections that may wait to be accepted.
+const ACCEPT_BACKLOG: u32 = 1_024;
+/// Time after which a connection attempt shows that the queue of new connections is full.
+const QUEUE_FULL_AFTER: Duration = Duration::from_millis(50);
+
 /// How a link treats bytes.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub enum LinkMode {
@@ -35,6 +41,31 @@
     StallBoth,
 }
 
+/// How a link treats new connections.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+enum NewConnections {
+    /// Accepts them.
+    #[default]
+    Accept,
+    /// Refuses them, like a port without a listener.
+    Refuse,
+    /// Does not answer, like a network that drops all packets.
+    Ignore,
+    /// Refuses them from now on, because the process behind the link has ended.
+    End,
+}
+
+/// How a link fails while it is partitioned.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Partition {
+    /// All packets are lost: open connections stall and new ones get no answer.
+    Silent,
+    /// Open connections are reset and new ones are refused.
+    Reset,
+    /// Open connections work and new ones are refused.
+    RefuseNew,
+}
+
 /// A link between a router and a server that it calls.
 #[derive(Clone)]
 pub struct Proxy {
@@ -47,7 +78,7 @@
     /// When all bytes in transfer towards clients will have arrived.
     busy_until: Rc<Cell<Instant>>,
     resets: Rc<RefCell<watch::Sender<u64>>>,
-    closed: Rc<watch::Sender<bool>>,
+    new_connections: Rc<watch::Sender<NewConnections>>,
 }
 
 impl Proxy {
@@ -69,24 +100,96 @@
             return_bytes_per_s,
             busy_until: Rc::new(Cell::new(Instant::now())),
             resets: Rc::new(RefCell::new(watch::Sender::new(0))),
-            closed: Rc::new(watch::Sender::new(false)),
+            new_connections: Rc::default(),
         };
-        let serving = proxy.clone();
-        spawn_local(async move {
-            let mut closed = serving.closed.subscribe();
+        spawn_local(proxy.clone().listen(listener));
+        Ok(proxy)
+    }
+
+    /// Accepts, refuses or ignores new connections until the process behind the link has ended.
+    async fn listen(self, first: TcpListener) {
+        let mut new_connections = self.new_connections.subscribe();
+        let mut first = Some(first);
+        loop {
+            let mode = *new_connections.borrow_and_update();
             let accept = async {
-                while let Ok((client, _)) = listener.accept().await {
-                    spawn_local(serving.clone().forward(client));
+                match mode {
+                    NewConnections::Accept => {
+                        let listener = match first.take() {
+                            Some(listener) => listener,
+                            None => self.bind()?.listen(ACCEPT_BACKLOG)?,
+                        };
+                        loop {
+                            let (client, _) = listener.accept().await?;
+                            spawn_local(self.clone().forward(client));
+                        }
+                    }
+                    NewConnections::Refuse | NewConnections::End => {
+                        drop(first.take());
+                        // A bound socket keeps the port from being used by another process.
+                        let _bound = self.bind()?;
+                        std::future::pending::<Result<()>>().await
+                    }
+                    NewConnections::Ignore => {
+                        drop(first.take());
+                        let listener = self.bind()?.listen(0)?;
+                        let mut queue = Vec::new();
+                        let dial = || timeout(QUEUE_FULL_AFTER, TcpStream::connect(self.addr));
+                        while let Ok(queued) = dial().await {
+                            queue.push(queued?);
+                        }
+                        let _kept = (listener, queue);
+                        std::future::pending::<Result<()>>().await
+                    }
                 }
             };
-            tokio::select! {
+            let failed: Result<()> = tokio::select! {
                 biased;
-                // `serving` holds the sender, so the channel cannot close.
-                _ = closed.wait_for(|closed| *closed) => (),
-                () = accept => (),
+                // `self` holds the sender, so the channel cannot close.
+                _ = new_connections.changed() => Ok(()),
+                failed = accept => failed,
+            };
+            if let Err(e) = failed {
+                log::error!("link={} new_connections={mode:?} error={e}", self.addr);
+                return;
             }
+        }
+    }
+
+    fn bind(&self) -> Result<TcpSocket> {
+        let sock = TcpSocket::new_v4()?;
+        sock.set_reuseaddr(true)?;
+        sock.bind(self.addr)?;
+        Ok(sock)
+    }
+
+    /// Partitions the link until [`Proxy::heal`].
+    pub fn partition(&self, how: Partition) {
+        let (mode, new_connections) = match how {
+            Partition::Silent => (LinkMode::StallBoth, NewConnections::Ignore),
+            Partition::Reset | Partition::RefuseNew => (LinkMode::Pass, NewConnections::Refuse),
+        };
+        self.set(mode);
+        self.set_new_connections(new_connections);
+        if how == Partition::Reset {
+            self.reset();
+        }
+    }
+
+    /// Ends a partition. Bytes that were held are delivered.
+    pub fn heal(&self) {
+        self.set(LinkMode::Pass);
+        self.set_new_connections(NewConnections::Accept);
+    }
+
+    fn set_new_connections(&self, mode: NewConnections) {
+        self.new_connections.send_if_modified(|m| {
+            let changes = *m != NewConnections::End && *m != mode;
+            if changes {
+                *m = mode;
+            }
+            changes
         });
-        Ok(proxy)
     }
 
     /// Sets how the link treats bytes from now on. Held bytes are delivered once the link forwards
@@ -103,7 +206,7 @@
     /// Stops listening, because the process behind the proxy has ended. Open connections end with
     /// that process.
     pub fn close(&self) {
-        self.closed.send_replace(true);
+        self.set_new_connections(NewConnections::End);
     }
 
     async fn forward(self, client: TcpStream) {
