Targets: a router without links to them connects through other routers

What callers saw: a router that had lost its links to all targets, and only these, refused nearly every caller (21 of 434 first attempts served, 0 of 336), while the others served 392 of 397 and 506 of 509.

Cause: each failed connection was taken for the fault of its target. The router went from target to target (300 ms each), then refused; nothing concluded that its own links were gone, and there was no other way to a target. Class: a local failure taken for a failure of all peers at once. The same conclusion recorded crashes of targets that only refused this router (the running request was quarantined by all routers), marked all targets unhealthy, and made them cold once the links were back.

Now a failed connection is the target's only if the router reaches others: it connects to three, and if none answers, through two other routers. If these reach one it is partitioned: failures so far are forgotten, and new connections are opened with CONNECT through a router that reaches the targets, in the same zone first. All decisions stay with the router that has the caller; the relay opens a connection and copies bytes, so budget, retries, deadline, target id and 'not run' hold as before. Kept connections that still answer are used on. Every 0.5 s a connection of its own is tried; one that opens ends the partition.

--- a/src/gateway/backend.rs
+++ b/src/gateway/backend.rs
@@ -167,11 +167,6 @@
         Incarnation(target_digest(&format!("{}/{started_at}", info.id)))
     }
 
-    /// Checks whether the target's process has ended; see [`Liveness::probe_ended`].
-    pub async fn find_ended(&self) -> bool {
-        self.process_state.probe_ended(self.addr(), &self.pool).await
-    }
-
     /// Whether neither the entry nor the target itself announced that it leaves. An entry that is
     /// missing in the store announces nothing.
     pub fn is_expected_to_stay(&self) -> bool {
@@ -181,9 +176,7 @@
     /// Records that a request got an answer.
     pub fn record_answer(&self) {
         self.process_state.mark_alive();
-        let mut load = self.load.borrow_mut();
-        load.failures = 0;
-        load.unhealthy_until = None;
+        self.reset_failures();
     }
 
     /// Records that a request failed or got no answer.
@@ -197,6 +190,13 @@
         }
     }
 
+    /// Forgets failures of requests and connections.
+    pub(super) fn reset_failures(&self) {
+        let mut load = self.load.borrow_mut();
+        load.failures = 0;
+        load.unhealthy_until = None;
+    }
+
     /// Records that connecting failed or that another target uses the address now. This counts as
     /// two failures, so that the target is unhealthy at once, and closes the idle connections.
     pub fn record_unreachable(&self) {
--- /dev/null
+++ b/src/gateway/connect.rs
@@ -0,0 +1,232 @@
+//! Connects to targets: directly, or through other routers while this one is partitioned.
+
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use futures_util::future::select_ok;
+use tokio::time::{Instant, sleep};
+
+use super::backend::Backend;
+use super::path::{Prefer, Verdict};
+use super::pool::{TargetConn, dial};
+use super::state::{Gateway, Platform};
+use super::stats::{connect_outcome, count_connect};
+use super::tunnel::{self, TunnelError};
+use crate::stats::ReasonLabel;
+
+/// Number of targets to which a check connects.
+const CHECKED_TARGETS: usize = 3;
+/// Number of routers through which a check connects.
+const CHECKED_RELAYS: usize = 2;
+/// Number of relays that are tried for one connection.
+const MAX_RELAYS: usize = 3;
+/// Interval between two attempts of a partitioned router to connect directly.
+pub const RETURN_PROBE_INTERVAL: Duration = Duration::from_millis(500);
+
+/// Why no connection to a target was opened. No byte of a request was sent.
+#[derive(Debug)]
+pub enum ConnectError {
+    /// The target refused the connection or did not answer.
+    Target(io::Error),
+    /// This router is partitioned, and no other router could relay the connection.
+    NoPath,
+}
+
+/// Connects to a target, through another router in an allowed zone if this one is partitioned from
+/// the targets.
+///
+/// # Errors
+/// See [`ConnectError`].
+pub async fn connect<P: Platform>(
+    gw: &Gateway<P>,
+    backend: &Backend,
+    allows_zone: impl Fn(&str) -> bool,
+) -> Result<TargetConn, ConnectError> {
+    if !gw.path.is_partitioned() {
+        match connect_directly(gw, backend).await {
+            Ok(target_conn) => return Ok(target_conn),
+            Err(Some(e)) => return Err(ConnectError::Target(e)),
+            Err(None) => (),
+        }
+    }
+    connect_relayed(gw, backend, allows_zone).await
+}
+
+/// Connects to a target without a relay. The failure is recorded as the target's unless this router
+/// turns out to be partitioned.
+///
+/// # Errors
+/// The error of connecting; `None` if this router is partitioned.
+pub(super) async fn connect_directly<P: Platform>(
+    gw: &Gateway<P>,
+    backend: &Backend,
+) -> Result<TargetConn, Option<io::Error>> {
+    let began = Instant::now();
+    let e = match dial_directly(gw, backend).await {
+        Ok(target_conn) => return Ok(target_conn),
+        Err(e) => e,
+    };
+    if check_path(gw, began).await == Verdict::Partitioned {
+        return Err(None);
+    }
+    backend.process_state.connect_failed(&e);
+    Err(Some(e))
+}
+
+async fn dial_directly<P: Platform>(gw: &Gateway<P>, backend: &Backend) -> io::Result<TargetConn> {
+    let began = Instant::now();
+    let dialled = dial(backend.addr()).await;
+    count_connect(&gw.stats, &dialled);
+    match &dialled {
+        Ok(_) => {
+            gw.path.record_opened(began);
+            backend.process_state.mark_alive();
+        }
+        Err(e) => {
+            let (target, ms) = (backend.id(), began.elapsed().as_millis());
+            let outcome = connect_outcome(e);
+            gw.log.note("connect", format_args!("target={target} outcome={outcome} ms={ms}"));
+        }
+    }
+    dialled
+}
+
+async fn connect_relayed<P: Platform>(
+    gw: &Gateway<P>,
+    backend: &Backend,
+    allows_zone: impl Fn(&str) -> bool,
+) -> Result<TargetConn, ConnectError> {
+    for relay in gw.path.relays(MAX_RELAYS, Prefer::SameZone, allows_zone) {
+        match open_tunnel(gw, backend, relay).await {
+            Ok(target_conn) => return Ok(target_conn),
+            Err(TunnelError::TargetRefused) => {
+                let e = io::Error::from(io::ErrorKind::ConnectionRefused);
+                backend.process_state.connect_failed(&e);
+                return Err(ConnectError::Target(e));
+            }
+            Err(TunnelError::TargetUnanswered) => {
+                let e = io::Error::from(io::ErrorKind::TimedOut);
+                backend.process_state.connect_failed(&e);
+                return Err(ConnectError::Target(e));
+            }
+            Err(TunnelError::RelayFailed) => gw.path.pause_relay(relay),
+        }
+    }
+    Err(ConnectError::NoPath)
+}
+
+async fn open_tunnel<P: Platform>(
+    gw: &Gateway<P>,
+    backend: &Backend,
+    relay: SocketAddr,
+) -> Result<TargetConn, TunnelError> {
+    let began = Instant::now();
+    let opened = tunnel::open(relay, backend.id_digest).await;
+    let reason = match &opened {
+        Ok(_) => "opened",
+        Err(TunnelError::TargetRefused) => "refused",
+        Err(TunnelError::TargetUnanswered) => "unanswered",
+        Err(TunnelError::RelayFailed) => "relay_failed",
+    };
+    gw.stats.tunnels_requested.get_or_create(&ReasonLabel { reason }).inc();
+    let (target, ms) = (backend.id(), began.elapsed().as_millis());
+    gw.log.routine("relay", format_args!("target={target} via={relay} outcome={reason} ms={ms}"));
+    opened.map(|conn| {
+        backend.process_state.mark_alive();
+        TargetConn::relayed(conn, relay)
+    })
+}
+
+/// Determines whether this router is partitioned from the targets, after a connection or request
+/// that began at `began` failed. Concurrent callers share one check.
+pub async fn check_path<P: Platform>(gw: &Gateway<P>, began: Instant) -> Verdict {
+    let known = || {
+        if gw.path.is_partitioned() {
+            Some(Verdict::Partitioned)
+        } else {
+            gw.path.has_opened_since(began).then_some(Verdict::Reachable)
+        }
+    };
+    if let Some(verdict) = known() {
+        return verdict;
+    }
+    let mut last_check = gw.path.last_check.lock().await;
+    if let Some(verdict) = known() {
+        return verdict;
+    }
+    if let Some((_, verdict)) = last_check.filter(|(check_began, _)| *check_began >= began) {
+        return verdict;
+    }
+    let check_began = Instant::now();
+    let checked = fastrand::choose_multiple(gw.targets.all(), CHECKED_TARGETS);
+    let verdict = match open_any(gw, &checked).await {
+        true => Verdict::Reachable,
+        false => Verdict::of(false, open_any_relayed(gw, &checked).await),
+    };
+    *last_check = Some((check_began, verdict));
+    if verdict == Verdict::Partitioned {
+        gw.path.set_partitioned(true);
+        gw.stats.partitioned.set(1);
+        // What was concluded about targets from this router's own network does not hold.
+        gw.targets.all().iter().for_each(|b| b.reset_failures());
+    }
+    let (ms, targets) = (check_began.elapsed().as_millis(), checked.len());
+    gw.log.note("path", format_args!("check={verdict:?} targets={targets} ms={ms}"));
+    verdict
+}
+
+/// Connects directly to all of `backends` at once. Returns whether one connection opened.
+async fn open_any<P: Platform>(gw: &Gateway<P>, backends: &[Rc<Backend>]) -> bool {
+    let attempts = backends.iter().map(|b| {
+        Box::pin(async move {
+            let target_conn = dial_directly(gw, b).await?;
+            target_conn.return_to(&mut b.pool.borrow_mut());
+            io::Result::Ok(())
+        })
+    });
+    let attempts: Vec<_> = attempts.collect();
+    !attempts.is_empty() && select_ok(attempts).await.is_ok()
+}
+
+/// Connects through several routers to each of `backends` at once. Returns whether one connection
+/// opened.
+async fn open_any_relayed<P: Platform>(gw: &Gateway<P>, backends: &[Rc<Backend>]) -> bool {
+    let relays = gw.path.relays(CHECKED_RELAYS, Prefer::OtherZones, |_| true);
+    let pairs = relays.iter().flat_map(|relay| backends.iter().map(|b| (*relay, b)));
+    let attempts = pairs.map(|(relay, b)| {
+        Box::pin(async move {
+            let target_conn = open_tunnel(gw, b, relay).await?;
+            target_conn.return_to(&mut b.pool.borrow_mut());
+            Ok::<(), TunnelError>(())
+        })
+    });
+    let attempts: Vec<_> = attempts.collect();
+    !attempts.is_empty() && select_ok(attempts).await.is_ok()
+}
+
+/// Whether another router reaches a target that refused this router's connection.
+pub(super) async fn is_reached_by_others<P: Platform>(
+    gw: &Gateway<P>,
+    backend: &Rc<Backend>,
+) -> bool {
+    open_any_relayed(gw, std::slice::from_ref(backend)).await
+}
+
+/// Ends the partition of this router once one of its own connections opens again. Never returns.
+pub async fn watch_path<P: Platform>(gw: Rc<Gateway<P>>) {
+    loop {
+        gw.path.wait_partitioned().await;
+        sleep(RETURN_PROBE_INTERVAL).await;
+        let probed = fastrand::choose_multiple(gw.targets.all(), CHECKED_TARGETS);
+        if !open_any(&gw, &probed).await {
+            continue;
+        }
+        if let Some(since) = gw.path.set_partitioned(false) {
+            gw.stats.partitioned.set(0);
+            let ms = since.elapsed().as_millis();
+            gw.log.note("path", format_args!("state=reachable partitioned_ms={ms}"));
+        }
+    }
+}
--- a/src/gateway/crash_attribution.rs
+++ b/src/gateway/crash_attribution.rs
@@ -9,6 +9,7 @@
 use tokio::time::{Instant, sleep};
 
 use super::backend::Backend;
+use super::connect::{connect, is_reached_by_others};
 use super::fingerprint::Fingerprint;
 use super::forward::Job;
 use super::quarantine::{Completion, Crash};
@@ -61,7 +62,10 @@
         }
         let (interrupted, gw, backend) = (self.interrupted(), self.gw.clone(), backend.clone());
         Some(spawn_local(async move {
-            if backend.find_ended().await {
+            let connecting = connect(&gw, &backend, |_| true);
+            let refused = backend.process_state.probe_ended(connecting, &backend.pool).await;
+            // The network may refuse only the connections of this router.
+            if refused && !is_reached_by_others(&gw, &backend).await {
                 interrupted.record_crash(&gw, &backend);
             }
         }))
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -2,15 +2,19 @@
 //! retries.
 
 use std::cell::{Cell, OnceCell};
+use std::fmt;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
 use compact_str::CompactString;
+use tokio::task::spawn_local;
 use tokio::time::{Instant, sleep, timeout_at};
 
 use super::backend::{Backend, PlacementPlan};
 use super::catalog::{Catalog, Route, RouteKind};
+use super::connect::{RETURN_PROBE_INTERVAL, check_path};
 use super::fingerprint::Fingerprint;
 use super::liveness::await_probe;
 use super::outcome::{self, FinalAnswer, NextStep, SendCounts, SendOutcome};
@@ -84,6 +88,8 @@
     pub tried: Vec<CompactString>,
     /// The target of the latest send.
     pub(super) current_target: Option<Rc<Backend>>,
+    /// The router that relays the latest send; `None` if it is direct.
+    pub(super) via: Option<SocketAddr>,
     /// When the latest send began.
     pub sent_at: Instant,
     /// Computed on first use by `Job::fingerprint`.
@@ -180,6 +186,7 @@
             may_have_run: Cell::new(false),
             tried: Vec::new(),
             current_target: None,
+            via: None,
             sent_at: started,
             fingerprint: OnceCell::new(),
         };
@@ -334,6 +341,10 @@
                 continue;
             }
             self.record_failed_send(&backend, ended, ran_before);
+            if ended == SendOutcome::NoPath {
+                let resp = RouterResponse::refusal("targets_unreachable", RETURN_PROBE_INTERVAL);
+                return failure_reply.ok_or(self.map_refusal(resp));
+            }
             if ended.is_broken() {
                 await_probe(self.spawn_crash_check(&backend)).await;
             }
@@ -465,9 +476,9 @@
             SendOutcome::NotRun => backend.record_rejection(),
             SendOutcome::OtherTarget => backend.record_unreachable(),
             SendOutcome::NoAnswer | SendOutcome::Silent | SendOutcome::Truncated => {
-                backend.record_failure()
+                self.record_failure(backend)
             }
-            SendOutcome::Failed | SendOutcome::HeldOff => (),
+            SendOutcome::Failed | SendOutcome::HeldOff | SendOutcome::NoPath => (),
         }
         count_failed_send(&self.gw.stats, ended);
         let (id, target) = (&self.meta.id, backend.id());
@@ -475,11 +486,50 @@
         self.gw.log.note(
             "send",
             format_args!(
-                "id={id} target={target} ended={ended:?} runs={runs_before} sends={} at_ms={ms}",
+                "id={id} target={target} via={} ended={ended:?} runs={runs_before} sends={} at_ms={ms}",
+                OrDash(self.via),
                 self.send_counts.sends
             ),
         );
     }
+
+    /// Records that a request to a target failed after it was sent. The failure is not the target's
+    /// if this router has lost its path to the targets; that is checked in the background.
+    pub(super) fn record_failure(&self, backend: &Backend) {
+        if self.via.is_some() {
+            return backend.record_failure();
+        }
+        if self.gw.path.is_partitioned() {
+            return;
+        }
+        backend.record_failure();
+        let (gw, began) = (self.gw.clone(), self.sent_at);
+        spawn_local(async move { check_path(&gw, began).await });
+    }
+
+    /// Whether a router in this zone may relay the request: its body may be sent to the regions
+    /// only to which the route and the organisation are restricted.
+    pub(super) fn allows_relay_zone(&self, zone: &str) -> bool {
+        let org_homes = self.org.as_deref().map_or(&[][..], |o| self.catalog.homes_of(o));
+        let filter = ZoneFilter {
+            emptied: &[],
+            homes: [&self.route.homes, org_homes],
+            regions: &self.gw.settings.regions,
+        };
+        filter.exclusion_reason(zone).is_none()
+    }
+}
+
+/// Shows a value, or a dash if there is none.
+pub(super) struct OrDash<T>(pub Option<T>);
+
+impl<T: fmt::Display> fmt::Display for OrDash<T> {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match &self.0 {
+            Some(value) => value.fmt(f),
+            None => f.write_str("-"),
+        }
+    }
 }
 
 /// The metric label of a route kind.
--- a/src/gateway/front.rs
+++ b/src/gateway/front.rs
@@ -8,7 +8,7 @@
 use tokio::sync::watch;
 use tokio::time::{Instant, timeout};
 
-use super::forward::{Job, route_kind_label};
+use super::forward::{Job, OrDash, route_kind_label};
 use super::refusal::{RejectedRequest, RouterResponse};
 use super::relay::{RelayOutcome, relay, write_router_response};
 use super::request::RequestMeta;
@@ -47,12 +47,14 @@
 }
 
 /// Guard that counts an open connection or an active request until it is dropped.
-struct CountGuard<'a, P: Platform>(&'a Gateway<P>, Kind);
+pub(super) struct CountGuard<'a, P: Platform>(&'a Gateway<P>, Kind);
 
 enum Kind {
     Connection,
     /// A request with this many bytes of body.
     Request(u64),
+    /// A request of another router's caller, with this many connections.
+    Tunnel(usize),
 }
 
 impl<'a, P: Platform> CountGuard<'a, P> {
@@ -67,6 +69,13 @@
         gw.body_bytes.set(gw.body_bytes.get() + bytes);
         CountGuard(gw, Kind::Request(bytes))
     }
+
+    /// Counts a tunnel, which occupies `connections` connections.
+    pub(super) fn tunnel(gw: &'a Gateway<P>, connections: usize) -> CountGuard<'a, P> {
+        gw.open_connections.set(gw.open_connections.get() + connections);
+        gw.active_requests.set(gw.active_requests.get() + 1);
+        CountGuard(gw, Kind::Tunnel(connections))
+    }
 }
 
 impl<P: Platform> Drop for CountGuard<'_, P> {
@@ -75,16 +84,24 @@
         match self.1 {
             Kind::Connection => gw.open_connections.set(gw.open_connections.get() - 1),
             Kind::Request(bytes) => {
-                gw.active_requests.set(gw.active_requests.get() - 1);
                 gw.body_bytes.set(gw.body_bytes.get() - bytes);
-                if gw.active_requests.get() == 0 {
-                    gw.no_active_requests.notify_waiters();
-                }
+                request_ended(gw);
+            }
+            Kind::Tunnel(connections) => {
+                gw.open_connections.set(gw.open_connections.get() - connections);
+                request_ended(gw);
             }
         }
     }
 }
 
+fn request_ended<P: Platform>(gw: &Gateway<P>) {
+    gw.active_requests.set(gw.active_requests.get() - 1);
+    if gw.active_requests.get() == 0 {
+        gw.no_active_requests.notify_waiters();
+    }
+}
+
 async fn serve_connection<P: Platform>(gw: Rc<Gateway<P>>, io: TcpStream) {
     let _counted = CountGuard::connection(&gw);
     gw.stats.accepted_connections.inc();
@@ -292,10 +309,11 @@
     let cost = job.reservation.as_ref().map_or(0, |h| h.spent().0);
     gw.stats.tokens_charged.inc_by(cost);
     let fields = format_args!(
-        "id={} route={} org={} target={target} status={status} outcome={outcome} config={} runs={} sends={} tokens={cost} ms={}",
+        "id={} route={} org={} target={target} via={} status={status} outcome={outcome} config={} runs={} sends={} tokens={cost} ms={}",
         job.meta.id,
         job.route.name,
         job.org.as_deref().unwrap_or("-"),
+        OrDash(job.via),
         job.catalog.version,
         job.send_counts.runs,
         job.send_counts.sends,
--- a/src/gateway/liveness.rs
+++ b/src/gateway/liveness.rs
@@ -2,14 +2,14 @@
 
 use std::cell::{Cell, RefCell};
 use std::io::ErrorKind;
-use std::net::SocketAddr;
 use std::time::Duration;
 
 use tokio::sync::Mutex;
 use tokio::task::JoinHandle;
 use tokio::time::{Instant, timeout};
 
-use super::pool::{Pool, dial};
+use super::connect::ConnectError;
+use super::pool::{Pool, TargetConn};
 
 /// How long a request whose answer broke off waits for the probe of its target before it is sent to
 /// the next one. Connecting takes a few milliseconds; a retransmission after packet loss is not
@@ -54,10 +54,15 @@
         self.ended.get()
     }
 
-    /// Determines by a new connection whether the process has ended, after one of its answers broke
-    /// off. Answers also break off when connections are reset or an answer is lost; then the target
-    /// still accepts connections. Requests that broke off together share one attempt.
-    pub async fn probe_ended(&self, addr: SocketAddr, pool: &RefCell<Pool>) -> bool {
+    /// Determines by a new connection, which `connect` opens, whether the process has ended, after
+    /// one of its answers broke off. Answers also break off when connections are reset or an answer
+    /// is lost; then the target still accepts connections. Requests that broke off together share
+    /// one attempt.
+    pub async fn probe_ended(
+        &self,
+        connect: impl Future<Output = Result<TargetConn, ConnectError>>,
+        pool: &RefCell<Pool>,
+    ) -> bool {
         let requested_at = Instant::now();
         let mut last_connect = self.last_connect.lock().await;
         if self.has_ended() {
@@ -67,13 +72,9 @@
             return false;
         }
         let began = Instant::now();
-        match dial(addr).await {
-            Ok(target_conn) => {
-                self.mark_alive();
-                *last_connect = Some(began);
-                target_conn.return_to(&mut pool.borrow_mut());
-            }
-            Err(e) => self.connect_failed(&e),
+        if let Ok(target_conn) = connect.await {
+            *last_connect = Some(began);
+            target_conn.return_to(&mut pool.borrow_mut());
         }
         self.has_ended()
     }
--- a/src/gateway/members.rs
+++ b/src/gateway/members.rs
@@ -11,6 +11,7 @@
 
 use super::cold::OwnerCandidate;
 use super::entry::RouterEntry;
+use super::path::Relay;
 use super::quarantine::{CrashReport, Source};
 use super::state::{Gateway, Phase, Platform};
 use crate::allowance::Lender;
@@ -42,6 +43,9 @@
     peer: SocketAddr,
     zone: CompactString,
     leaving: bool,
+    /// Whether the router is partitioned from the targets.
+    #[serde(default)]
+    partitioned: bool,
     /// Current rate of requests per second, and the maximum one.
     rate: u32,
     capacity: u32,
@@ -100,6 +104,14 @@
         }
     }
 
+    fn as_relay(&self) -> Relay {
+        Relay {
+            addr: self.entry.peer,
+            zone: self.entry.zone.clone(),
+            capacity: self.entry.capacity,
+        }
+    }
+
     fn as_lender(&self) -> Lender {
         Lender {
             name: self.instance.clone(),
@@ -142,6 +154,9 @@
                 // The start of a shutdown is written at once: callers ask other routers for
                 // entries, and these must leave this router out.
                 _ = phase.changed() => (),
+                // Other routers must neither relay through a partitioned router nor send callers
+                // to it.
+                () = gw.path.changed() => (),
                 // Crashes are written soon, so that other routers learn which requests were
                 // involved.
                 () = gw.crashes.row_write_due() => (),
@@ -210,6 +225,7 @@
         peer: s.peer,
         zone: s.zone.clone(),
         leaving,
+        partitioned: gw.path.is_partitioned(),
         rate: gw.requests_per_s.get(),
         capacity: s.capacity,
         beat: store_time,
@@ -272,6 +288,8 @@
     let retrying = 1 + others.iter().filter(|o| o.age_ms < RETRYING_ROUTER_MAX_AGE_MS).count();
     gw.retries.borrow_mut().set_routers(u32::try_from(retrying).unwrap_or(u32::MAX));
     set_lenders(gw, &live);
+    let can_relay = |o: &&&PeerRow| !o.entry.leaving && !o.entry.partitioned;
+    gw.path.set_relays(live.iter().filter(can_relay).map(|o| o.as_relay()).collect());
     // A process that has just started to read the table counts every row. After a long outage of
     // the store the rows of live routers are stale as well, and each router would own all targets.
     let all: Vec<&PeerRow> = others.iter().collect();
--- a/src/gateway/outcome.rs
+++ b/src/gateway/outcome.rs
@@ -10,6 +10,9 @@
     /// Not sent, because the target accepts no request at the moment: it is cold and has no room,
     /// its zone has just been emptied, or it has just asked for no more requests.
     HeldOff,
+    /// Not sent, because this router is partitioned from the targets and no other router could relay
+    /// the request.
+    NoPath,
     /// The target proved that it did not run the request.
     NotRun,
     /// The address now belongs to another target.
@@ -91,7 +94,9 @@
     let ran_before = counts.runs > 0;
     match outcome {
         SendOutcome::NotSent | SendOutcome::HeldOff if sends_left => NextStep::SendAgain,
-        SendOutcome::NotSent | SendOutcome::HeldOff => NextStep::Answer(not_run_answer(ran_before)),
+        SendOutcome::NotSent | SendOutcome::HeldOff | SendOutcome::NoPath => {
+            NextStep::Answer(not_run_answer(ran_before))
+        }
         SendOutcome::NotRun | SendOutcome::OtherTarget if sends_left => {
             NextStep::Retry(not_run_answer(ran_before))
         }
--- a/src/gateway/pool.rs
+++ b/src/gateway/pool.rs
@@ -10,7 +10,7 @@
 /// How long bytes sent to a target may stay unacknowledged. A target that lost power never answers,
 /// and idempotent requests must then be retried elsewhere while there is time. The limit is longer
 /// than several retransmissions on a lossy link.
-const UNACKED_TIMEOUT: Duration = Duration::from_millis(1_500);
+pub(super) const UNACKED_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// How long connecting may take. Within a region it takes a few ms. One lost packet costs a second,
 /// which is too long to wait when other targets are available.
 const TARGET_CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
@@ -29,11 +29,23 @@
     pub conn: Conn,
     /// Whether the connection has carried a request before.
     pub used: bool,
+    /// The router that relays the connection; `None` if it is direct.
+    pub via: Option<SocketAddr>,
     /// Until when the connection may be reused; `None` if it cannot carry another request.
     reuse_until: Option<Instant>,
 }
 
 impl TargetConn {
+    /// A new connection that the router at `relay` relays.
+    pub fn relayed(conn: Conn, relay: SocketAddr) -> TargetConn {
+        TargetConn { via: Some(relay), ..TargetConn::direct(conn) }
+    }
+
+    fn direct(conn: Conn) -> TargetConn {
+        let reuse_until = Some(Instant::now() + DEFAULT_KEEP_ALIVE);
+        TargetConn { conn, used: false, via: None, reuse_until }
+    }
+
     /// Reads and drops the body of an answer that is not forwarded. The connection is reusable only
     /// if the answer allows it and its body is complete.
     pub async fn discard_body(&mut self, answer: ResponseHead) {
@@ -52,7 +64,7 @@
     /// or got none.
     pub fn return_to(self, pool: &mut Pool) {
         if let Some(reuse_until) = self.reuse_until {
-            pool.add_idle(self.conn, reuse_until);
+            pool.add_idle(self.conn, self.via, reuse_until);
         }
     }
 }
@@ -68,6 +80,8 @@
 #[derive(Debug)]
 struct IdleConn {
     conn: Conn,
+    via: Option<SocketAddr>,
+    idle_since: Instant,
     reuse_until: Instant,
 }
 
@@ -78,15 +92,20 @@
 }
 
 impl Pool {
-    /// Takes an idle connection that is still open and holds no unexpected bytes.
-    pub fn take(&mut self) -> Option<TargetConn> {
+    /// Takes an idle connection that is still open and holds no unexpected bytes. Closes those that
+    /// must not be used any more, given the relay and since when a connection is idle.
+    pub fn take(
+        &mut self,
+        is_usable: impl Fn(Option<SocketAddr>, Instant) -> bool,
+    ) -> Option<TargetConn> {
         let now = Instant::now();
-        self.idle.retain(|i| i.reuse_until > now);
+        self.idle.retain(|i| i.reuse_until > now && is_usable(i.via, i.idle_since));
         while let Some(mut idle) = self.idle.pop() {
             if idle.conn.is_reusable() {
                 return Some(TargetConn {
                     conn: idle.conn,
                     used: true,
+                    via: idle.via,
                     reuse_until: Some(idle.reuse_until),
                 });
             }
@@ -95,15 +114,16 @@
     }
 
     /// Returns a connection after a complete answer, if that answer allows reuse.
-    pub fn put(&mut self, conn: Conn, answer: &ResponseHead) {
+    /// `via` is the router that relays the connection, if any.
+    pub fn put(&mut self, conn: Conn, via: Option<SocketAddr>, answer: &ResponseHead) {
         if let Some(reuse_until) = reuse_deadline(answer) {
-            self.add_idle(conn, reuse_until);
+            self.add_idle(conn, via, reuse_until);
         }
     }
 
-    fn add_idle(&mut self, mut conn: Conn, reuse_until: Instant) {
+    fn add_idle(&mut self, mut conn: Conn, via: Option<SocketAddr>, reuse_until: Instant) {
         if self.idle.len() < MAX_IDLE_CONNS && conn.is_reusable() {
-            self.idle.push(IdleConn { conn, reuse_until });
+            self.idle.push(IdleConn { conn, via, idle_since: Instant::now(), reuse_until });
         }
     }
 
@@ -119,5 +139,5 @@
 /// The error of connecting, or `TimedOut`. Nothing was sent then.
 pub async fn dial(addr: SocketAddr) -> std::io::Result<TargetConn> {
     let conn = timeout(TARGET_CONNECT_TIMEOUT, Conn::dial(addr, UNACKED_TIMEOUT)).await??;
-    Ok(TargetConn { conn, used: false, reuse_until: Some(Instant::now() + DEFAULT_KEEP_ALIVE) })
+    Ok(TargetConn::direct(conn))
 }
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -157,7 +157,7 @@
     let ended = ongoing.run(job, caller).await;
     if ended == RelayOutcome::Complete {
         let OngoingRelay { remaining, head, in_flight, .. } = ongoing;
-        in_flight.backend().pool.borrow_mut().put(remaining.conn, &head);
+        in_flight.backend().pool.borrow_mut().put(remaining.conn, remaining.via, &head);
         return (ended, keep_alive);
     }
     (ended, false)
@@ -237,7 +237,7 @@
         job: &mut Job<'_, P>,
         caller: &mut Conn,
     ) -> Result<(), RelayOutcome> {
-        self.in_flight.backend().record_failure();
+        job.record_failure(self.in_flight.backend());
         let Some(stream) = &self.remaining.stream else { return Err(RelayOutcome::Interrupted) };
         let (last, events): (Option<CompactString>, u64) = (stream.last_id.clone(), stream.events);
         let may_resume = job.route.kind == RouteKind::ResumableStream
--- a/src/gateway/reply.rs
+++ b/src/gateway/reply.rs
@@ -1,5 +1,7 @@
 //! A target's answer, read as far as it is buffered.
 
+use std::net::SocketAddr;
+
 use bytes::Bytes;
 use compact_str::CompactString;
 
@@ -24,6 +26,8 @@
 pub struct RemainingBody {
     /// The connection to the target.
     pub conn: Conn,
+    /// The router that relays the connection; `None` if it is direct.
+    pub via: Option<SocketAddr>,
     /// Decoder of the body's framing.
     pub body: BodyDecoder,
     /// Progress of a stream; `None` for a plain answer.
--- a/src/gateway/send.rs
+++ b/src/gateway/send.rs
@@ -1,6 +1,7 @@
 //! One send to one target: writes the request and reads the part of the answer that is buffered
 //! before anything is forwarded.
 
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -9,15 +10,16 @@
 
 use super::backend::{Backend, InFlight, PlacementPlan};
 use super::cold::AdmissionLimit;
+use super::connect::{ConnectError, connect};
 use super::forward::Job;
 use super::notice::{Notice, RetryAfter};
 use super::outcome::SendOutcome;
-use super::pool::{TargetConn, dial};
+use super::pool::TargetConn;
 use super::reply::{RemainingBody, Reply, StreamProgress};
 use super::request::{AddedHeaders, HeaderNames, encode_request};
 use super::state::Platform;
-use super::stats::{connect_outcome, count_connect, count_notice};
-use crate::http1::{BodyDecoder, Conn, HeadError, ResponseHead, header};
+use super::stats::count_notice;
+use crate::http1::{BodyDecoder, HeadError, ResponseHead, header};
 use crate::ids::Tokens;
 
 /// The longest accepted response head.
@@ -44,11 +46,24 @@
         self.current_target = Some(backend.clone());
         self.sent_at = Instant::now();
         let in_flight = InFlight::begin(backend, plan, self.sent_at);
-        let pooled = backend.pool.borrow_mut().take();
+        let partitioned_since = self.gw.path.partitioned_since();
+        let is_usable = |via: Option<SocketAddr>, idle_since| match (via, partitioned_since) {
+            (None, None) => true,
+            (Some(_), None) => false,
+            (Some(relay), Some(_)) => self.gw.path.is_relay(relay, |z| self.allows_relay_zone(z)),
+            // Connections that carried an answer since then survived the partition.
+            (None, Some(since)) => idle_since > since,
+        };
+        let pooled = backend.pool.borrow_mut().take(is_usable);
         let mut target_conn = match pooled {
             Some(target_conn) => target_conn,
-            None => self.connect(backend).await?,
+            None => match connect(self.gw, backend, |z| self.allows_relay_zone(z)).await {
+                Ok(target_conn) => target_conn,
+                Err(ConnectError::Target(_)) => return Err(SendOutcome::NotSent),
+                Err(ConnectError::NoPath) => return Err(SendOutcome::NoPath),
+            },
         };
+        self.via = target_conn.via;
         if let Err(held_off) = self.check_before_send(backend).await {
             target_conn.return_to(&mut backend.pool.borrow_mut());
             return Err(held_off);
@@ -73,7 +88,7 @@
         }
         let outcome = self.send_and_read_head(&mut target_conn, &bytes, plan).await;
         match outcome {
-            Ok(head) => self.read_reply(target_conn.conn, head, in_flight).await,
+            Ok(head) => self.read_reply(target_conn, head, in_flight).await,
             Err(ended) => {
                 if !ended.may_have_run() {
                     self.send_counts.runs -= 1;
@@ -90,29 +105,6 @@
         }
     }
 
-    /// Opens a connection to the target.
-    ///
-    /// # Errors
-    /// `NotSent`.
-    async fn connect(&self, backend: &Backend) -> Result<TargetConn, SendOutcome> {
-        let began = Instant::now();
-        let dialled = dial(backend.addr()).await;
-        count_connect(&self.gw.stats, &dialled);
-        dialled.inspect(|_| backend.process_state.mark_alive()).map_err(|e| {
-            let (id, target, ms) = (&self.meta.id, backend.id(), began.elapsed().as_millis());
-            let outcome = connect_outcome(&e);
-            self.gw.log.note(
-                "connect",
-                format_args!(
-                    "id={id} target={target} outcome={outcome} error={:?} ms={ms}",
-                    e.to_string()
-                ),
-            );
-            backend.process_state.connect_failed(&e);
-            SendOutcome::NotSent
-        })
-    }
-
     /// Checks the target again right before a send, since its state may have changed after it was
     /// selected. Every send passes this check.
     ///
@@ -266,7 +258,7 @@
 
     async fn read_reply(
         &mut self,
-        conn: Conn,
+        target_conn: TargetConn,
         mut head: ResponseHead,
         mut in_flight: InFlight,
     ) -> Result<Reply, SendOutcome> {
@@ -275,8 +267,9 @@
         }
         let is_stream = self.route.kind.is_stream() && (200..300).contains(&head.status);
         let body = head.body;
+        let TargetConn { conn, via, .. } = target_conn;
         let mut remaining =
-            RemainingBody { conn, body, stream: is_stream.then(StreamProgress::default) };
+            RemainingBody { conn, via, body, stream: is_stream.then(StreamProgress::default) };
         let first_bytes = if is_stream {
             self.read_first_events(&mut remaining, &mut in_flight).await?
         } else {
@@ -284,7 +277,7 @@
         };
         in_flight.backend().record_answer();
         let remaining = if remaining.body.is_done() && !is_stream {
-            in_flight.backend().pool.borrow_mut().put(remaining.conn, &head);
+            in_flight.backend().pool.borrow_mut().put(remaining.conn, via, &head);
             None
         } else {
             Some(remaining)
--- a/src/gateway/start.rs
+++ b/src/gateway/start.rs
@@ -6,14 +6,15 @@
 use tokio::task::{JoinHandle, spawn_local};
 
 use super::state::{Gateway, Platform};
-use super::{front, members, peers, sync};
+use super::{connect, front, members, peers, sync, tunnel};
 
 /// Starts the tasks of a router. Callers connect to `listener`; other routers send datagrams to
-/// `socket`. The first task is the one that follows the configuration.
+/// `socket`, and open tunnels at `tunnel_listener`. The first task is the one that follows the configuration.
 pub fn start<P: Platform>(
     gw: &Rc<Gateway<P>>,
     listener: TcpListener,
     socket: UdpSocket,
+    tunnel_listener: TcpListener,
 ) -> Vec<JoinHandle<()>> {
     let socket = Rc::new(socket);
     gw.cold.set_socket(socket.clone());
@@ -32,6 +33,8 @@
         spawn_local(async move { zones.zones.run_sender(&zones_socket).await }),
         spawn_local(peers::send_budget_messages(gw.clone(), socket.clone())),
         spawn_local(peers::receive_datagrams(gw.clone(), socket)),
+        spawn_local(connect::watch_path(gw.clone())),
+        spawn_local(tunnel::accept(gw.clone(), tunnel_listener)),
         spawn_local(front::accept(gw.clone(), listener)),
     ]
 }
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -15,6 +15,7 @@
 use super::entry::EntryView;
 use super::feed::{Confirmation, Feed, StoreReader};
 use super::hints::PlacementHints;
+use super::path::TargetPath;
 use super::place::PlacementWeights;
 use super::request::HeaderNames;
 use super::retries::{RetryAllowance, ServiceRetryBudgets};
@@ -121,6 +122,8 @@
     pub peers: RefCell<Vec<IpAddr>>,
     /// Hints about sent prompts that routers exchange.
     pub hints: PlacementHints,
+    /// Whether this router reaches the targets, and the routers that can relay its connections.
+    pub path: TargetPath,
     /// Requests during which targets crashed, for the quarantine.
     pub crashes: CrashTracker,
     /// Zones that the operator has emptied.
@@ -167,6 +170,7 @@
         Rc::new(Gateway {
             crashes: CrashTracker::new(log.clone(), stats.clone()),
             zones: ZoneGossip::new(log.clone(), stats.clone()),
+            path: TargetPath::new(settings.zone.clone()),
             cold: Admissions::new(settings.instance.clone(), log.clone(), stats.clone()),
             reader: StoreReader::new(
                 platform.clone(),
--- a/src/gateway/stats.rs
+++ b/src/gateway/stats.rs
@@ -16,6 +16,7 @@
     let reason = match ended {
         SendOutcome::NotSent => "not_sent",
         SendOutcome::HeldOff => "held_off",
+        SendOutcome::NoPath => "no_path",
         SendOutcome::NotRun => "not_run",
         SendOutcome::OtherTarget => "other_target",
         SendOutcome::NoAnswer => "no_answer",
--- /dev/null
+++ b/src/gateway/tunnel.rs
@@ -0,0 +1,210 @@
+//! Tunnels: a router connects to a target through another router.
+//!
+//! A router that is partitioned from the targets asks another one with `CONNECT`, as specified in
+//! RFC 9110, section 9.3.6. The request target is the digest of the target's id in hexadecimal, so
+//! that a tunnel leads to known targets only. After status 200 the connection carries the bytes of
+//! the target's connection. A relay always connects to the target itself, never through another
+//! tunnel.
+//!
+//! | status | meaning |
+//! | --- | --- |
+//! | 200 | the connection to the target is open |
+//! | 400, 404 | the request is malformed; the relay does not know the target |
+//! | 502 | the target refused the connection |
+//! | 503 | the relay is stopping, is partitioned itself, or has no free connections |
+//! | 504 | the target did not answer the relay |
+
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use socket2::SockRef;
+use tokio::io::{AsyncReadExt, AsyncWriteExt, copy};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::task::spawn_local;
+use tokio::time::{Instant, sleep, timeout};
+
+use super::backend::Backend;
+use super::connect::connect_directly;
+use super::front::CountGuard;
+use super::pool::UNACKED_TIMEOUT;
+use super::state::{Gateway, Phase, Platform};
+use crate::http1::Conn;
+use crate::stats::ReasonLabel;
+
+/// Time limit for opening a tunnel: the connection to the relay, and the relay's connection to the
+/// target or its check whether it is partitioned itself.
+const OPEN_TIMEOUT: Duration = Duration::from_millis(700);
+/// Time limit for the head of a request to open a tunnel.
+const HEAD_TIMEOUT: Duration = Duration::from_secs(1);
+/// Maximum size of a head when a tunnel is opened.
+const MAX_HEAD_BYTES: usize = 1_024;
+/// How long a relay waits for a router to close a tunnel whose target has closed it.
+const CLOSE_TIMEOUT: Duration = Duration::from_secs(1);
+/// Number of connections that a tunnel occupies at its relay.
+const CONNECTIONS_PER_TUNNEL: usize = 2;
+
+/// Why no tunnel was opened.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum TunnelError {
+    /// The target refused the relay's connection.
+    TargetRefused,
+    /// The target did not answer the relay.
+    TargetUnanswered,
+    /// The relay did not answer, or cannot relay at the moment.
+    RelayFailed,
+}
+
+/// Opens a tunnel through the router at `relay` to the target with this digest.
+///
+/// # Errors
+/// See [`TunnelError`]. Nothing was sent to the target.
+pub async fn open(relay: SocketAddr, target_digest: u64) -> Result<Conn, TunnelError> {
+    let opened = async {
+        let mut conn = Conn::dial(relay, UNACKED_TIMEOUT).await.ok()?;
+        let request =
+            format!("CONNECT {target_digest:016x} HTTP/1.1\r\nHost: {target_digest:016x}\r\n\r\n");
+        conn.write(request.as_bytes()).await.ok()?;
+        let head = conn.read_response(MAX_HEAD_BYTES).await.ok()?;
+        Some((conn, head.status))
+    };
+    match timeout(OPEN_TIMEOUT, opened).await {
+        Ok(Some((conn, 200))) => Ok(conn),
+        Ok(Some((_, 502))) => Err(TunnelError::TargetRefused),
+        Ok(Some((_, 504))) => Err(TunnelError::TargetUnanswered),
+        Ok(_) | Err(_) => Err(TunnelError::RelayFailed),
+    }
+}
+
+/// Accepts tunnels of other routers. Never returns.
+pub async fn accept<P: Platform>(gw: Rc<Gateway<P>>, listener: TcpListener) {
+    loop {
+        match listener.accept().await {
+            Ok((io, from)) if gw.peers.borrow().binary_search(&from.ip()).is_ok() => {
+                spawn_local(serve(gw.clone(), io, from));
+            }
+            Ok((_, from)) => {
+                gw.log.note("tunnel", format_args!("from={from} outcome=unknown_router"));
+            }
+            Err(e) => {
+                gw.log.note("tunnel", format_args!("outcome=not_accepted error={e}"));
+                sleep(Duration::from_millis(20)).await;
+            }
+        }
+    }
+}
+
+/// Why a request for a tunnel is rejected, for the log, with the status of the response.
+type Rejection = (u16, &'static str);
+
+async fn serve<P: Platform>(gw: Rc<Gateway<P>>, io: TcpStream, from: SocketAddr) {
+    let _counted = CountGuard::tunnel(&gw, CONNECTIONS_PER_TUNNEL);
+    let began = Instant::now();
+    let Ok(mut router) = Conn::new(io, UNACKED_TIMEOUT) else { return };
+    let opened = match requested_target(&gw, &mut router).await {
+        Ok(backend) => open_target(&gw, &backend).await.map(|conn| (backend, conn)),
+        Err(rejection) => Err(rejection),
+    };
+    let outcome = opened.as_ref().err().map_or("opened", |(_, reason)| reason);
+    gw.stats.tunnels_served.get_or_create(&ReasonLabel { reason: outcome }).inc();
+    match opened {
+        Ok((backend, target)) => {
+            let target_id = backend.id();
+            if router.write(b"HTTP/1.1 200 Connection Established\r\n\r\n").await.is_err() {
+                return;
+            }
+            let ended = splice(router, target).await;
+            let ms = began.elapsed().as_millis();
+            gw.log.routine(
+                "tunnel",
+                format_args!("from={from} target={target_id} outcome={ended} ms={ms}"),
+            );
+        }
+        Err((status, reason)) => {
+            gw.log.note("tunnel", format_args!("from={from} outcome={reason} status={status}"));
+            let response = format!(
+                "HTTP/1.1 {status} {reason}\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
+            );
+            // A router that has left needs no response.
+            let _ = router.write(response.as_bytes()).await;
+        }
+    }
+}
+
+/// Reads which target a router wants to reach.
+async fn requested_target<P: Platform>(
+    gw: &Gateway<P>,
+    router: &mut Conn,
+) -> Result<Rc<Backend>, Rejection> {
+    let head = timeout(HEAD_TIMEOUT, router.read_request(MAX_HEAD_BYTES)).await;
+    let Ok(Ok(head)) = head else { return Err((400, "malformed")) };
+    if head.method != "CONNECT" {
+        return Err((400, "malformed"));
+    }
+    let digest = u64::from_str_radix(&head.target, 16).map_err(|_| (400, "malformed"))?;
+    if *gw.phase.borrow() == Phase::Finishing {
+        return Err((503, "stopping"));
+    }
+    if gw.open_connections.get() > gw.settings.max_connections {
+        return Err((503, "too_many"));
+    }
+    if gw.path.is_partitioned() {
+        return Err((503, "partitioned"));
+    }
+    gw.targets.by_digest(digest).ok_or((404, "unknown_target"))
+}
+
+async fn open_target<P: Platform>(gw: &Gateway<P>, backend: &Backend) -> Result<Conn, Rejection> {
+    match connect_directly(gw, backend).await {
+        Ok(target_conn) => Ok(target_conn.conn),
+        Err(None) => Err((503, "partitioned")),
+        Err(Some(e)) if e.kind() == io::ErrorKind::ConnectionRefused => Err((502, "refused")),
+        Err(Some(_)) => Err((504, "unanswered")),
+    }
+}
+
+/// Copies bytes in both directions until one side closes. Returns which one did.
+async fn splice(router: Conn, target: Conn) -> &'static str {
+    let (mut router, from_router) = router.into_parts();
+    let (mut target, from_target) = target.into_parts();
+    let (mut router_rd, mut router_wr) = router.split();
+    let (mut target_rd, mut target_wr) = target.split();
+    let up = async {
+        target_wr.write_all(&from_router).await?;
+        copy(&mut router_rd, &mut target_wr).await
+    };
+    let down = async {
+        router_wr.write_all(&from_target).await?;
+        copy(&mut target_rd, &mut router_wr).await
+    };
+    let ended = tokio::select! {
+        // The request is cancelled: closing the target's connection stops its work.
+        _ = up => None,
+        ended = down => Some(ended),
+    };
+    match ended {
+        None => "router_closed",
+        Some(Ok(_)) => {
+            // The router's bytes are read to the end, because a connection that is closed with
+            // unread bytes is reset, and the reset could overtake the answer.
+            let closed = async {
+                router_wr.shutdown().await?;
+                let mut unread = [0; 256];
+                while router_rd.read(&mut unread).await? > 0 {}
+                io::Result::Ok(())
+            };
+            // Both connections are closed in any case.
+            let _ = timeout(CLOSE_TIMEOUT, closed).await;
+            "target_closed"
+        }
+        Some(Err(_)) => {
+            // A target's answer that is delimited by the end of its connection must not look
+            // complete.
+            if let Err(e) = SockRef::from(&router).set_linger(Some(Duration::ZERO)) {
+                log::debug!("tunnel abort error={e}");
+            }
+            "reset"
+        }
+    }
+}
--- a/src/http1/conn.rs
+++ b/src/http1/conn.rs
@@ -235,6 +235,11 @@
         }
     }
 
+    /// Takes the connection apart into its socket and the bytes that were read but not consumed.
+    pub fn into_parts(self) -> (TcpStream, BytesMut) {
+        (self.io, self.buf)
+    }
+
     /// Closes the connection with a reset, so that the peer cannot take an incomplete message for a
     /// complete one.
     pub fn abort(self) {
--- a/src/standin/gateway_host.rs
+++ b/src/standin/gateway_host.rs
@@ -43,13 +43,15 @@
     ) -> Result<GatewayHost> {
         let listener = TcpListener::bind("127.0.0.1:0").await?;
         let front = listener.local_addr()?;
-        let socket = UdpSocket::bind(front).await?;
+        let tunnel_listener = TcpListener::bind("127.0.0.1:0").await?;
+        let peer = tunnel_listener.local_addr()?;
+        let socket = UdpSocket::bind(peer).await?;
         let platform = platform.new_client();
         let log = Log::new();
         let own_id = process_id(instance, incarnation);
-        let settings = settings(instance, zone, front);
+        let settings = gateway::Settings { peer, ..settings(instance, zone, front) };
         let gw = Gateway::new(platform.clone(), settings, own_id, log.clone());
-        let tasks = gateway::start(&gw, listener, socket);
+        let tasks = gateway::start(&gw, listener, socket, tunnel_listener);
         let host = GatewayHost { front, gw, platform, log, tasks };
         while !host.is_serving() {
             sleep(READY_POLL_INTERVAL).await;
--- a/src/stats.rs
+++ b/src/stats.rs
@@ -37,6 +37,12 @@
     pub sends: Family<ReasonLabel, Counter>,
     /// Attempts to connect to a target, by outcome.
     pub target_connects: Family<ReasonLabel, Counter>,
+    /// Tunnels that this router requested from others, by outcome.
+    pub tunnels_requested: Family<ReasonLabel, Counter>,
+    /// Tunnels that other routers requested from this one, by outcome.
+    pub tunnels_served: Family<ReasonLabel, Counter>,
+    /// 1 while this router is partitioned from the targets.
+    pub partitioned: Gauge,
     /// Requests whose target crashed while it executed them.
     pub target_crashes: Counter,
     /// Requests in quarantine because targets crashed while they executed them.
@@ -102,6 +108,24 @@
             "Attempts to connect to a target, by outcome",
             target_connects.clone(),
         );
+        let tunnels_requested = Family::default();
+        registry.register(
+            "tunnels_requested",
+            "Tunnels to targets requested from other routers, by outcome",
+            tunnels_requested.clone(),
+        );
+        let tunnels_served = Family::default();
+        registry.register(
+            "tunnels_served",
+            "Tunnels to targets requested by other routers, by outcome",
+            tunnels_served.clone(),
+        );
+        let partitioned = Gauge::default();
+        registry.register(
+            "partitioned",
+            "1 while this router is partitioned from the targets",
+            partitioned.clone(),
+        );
         let target_crashes = Counter::default();
         registry.register(
             "targets_ended",
@@ -213,6 +237,9 @@
             requests,
             sends,
             target_connects,
+            tunnels_requested,
+            tunnels_served,
+            partitioned,
             target_crashes,
             quarantined_requests,
             caller_disconnects,
