Entry answers: routers that are partitioned from the targets come last

Requests at a partitioned router take a detour through another one, which costs a hop and the bytes of both links. Such a router says so in its row, written at once, and others name it only if its region has no other. Within the region only, so that callers of a region are not sent to another one.

Not the fix by itself: callers keep an answer for up to three lifetimes and their connections as long, and with a zone out the rest must carry it.

--- a/src/explain.rs
+++ b/src/explain.rs
@@ -1,7 +1,7 @@
 //! Finds the log lines that explain the outcome of a request.
 
 /// Events that report the state of a router rather than the processing of one request.
-const STATE_EVENTS: [&str; 5] = ["store", "config", "members", "stop", "start"];
+const STATE_EVENTS: [&str; 6] = ["store", "config", "members", "path", "stop", "start"];
 
 /// Returns the value of `key=value` in a log line.
 fn field<'a>(line: &'a str, name: &str) -> Option<&'a str> {
--- a/src/gateway/entry.rs
+++ b/src/gateway/entry.rs
@@ -27,6 +27,8 @@
     pub zone: CompactString,
     /// Whether the router is shutting down.
     pub leaving: bool,
+    /// Whether the router is partitioned from the targets and relays its requests.
+    pub partitioned: bool,
     /// Recent request rate, per second.
     pub rate: u32,
     /// Stated capacity, in requests per second.
@@ -52,11 +54,16 @@
     /// serves an organisation holds a part of its budget. With fewer routers, less of the budget is
     /// stranded, and less is in doubt when routers fail. If the zone has no routers, names those of
     /// the zone's region; if that has none, those of the regions to which the host is restricted;
-    /// otherwise all routers.
+    /// otherwise all routers. Routers that are partitioned from the targets, whose requests take a
+    /// detour, are named only if the region of the zone has no others.
     pub fn answer(&self, host: &str, zone: &str, regions: &ZoneRegions) -> Vec<SocketAddr> {
+        let reaches_targets = |r: &RouterEntry| !r.leaving && !r.partitioned;
+        let is_near = |r: &RouterEntry| regions.region(&r.zone) == regions.region(zone);
+        let none_reaches = !self.routers.iter().any(|r| reaches_targets(r) && is_near(r));
+        let is_usable = |r: &RouterEntry| reaches_targets(r) || (none_reaches && !r.leaving);
         let in_zone = || self.routers.iter().filter(|r| r.zone == zone);
         let rate: f64 = in_zone().map(|r| f64::from(r.rate)).sum();
-        let mut staying: Vec<_> = in_zone().filter(|r| !r.leaving).collect();
+        let mut staying: Vec<_> = in_zone().filter(|r| is_usable(r)).collect();
         // All routers must compute the same answer: routers of equal capacity are sorted by
         // address.
         staying.sort_by_key(|r| (Reverse(r.capacity), r.front));
@@ -67,12 +74,12 @@
         for within in [own_region, self.homes(host)] {
             if named.is_empty() {
                 let in_regions = |z: &str| regions.region(z).is_some_and(|r| within.contains(r));
-                let staying = self.routers.iter().filter(|r| !r.leaving && in_regions(&r.zone));
+                let staying = self.routers.iter().filter(|r| is_usable(r) && in_regions(&r.zone));
                 named.extend(staying.map(|r| r.front));
             }
         }
         if named.is_empty() {
-            let staying = self.routers.iter().filter(|r| !r.leaving);
+            let staying = self.routers.iter().filter(|r| is_usable(r));
             named.extend(staying.map(|r| r.front));
         }
         named.truncate(MAX_ANSWER_ADDRESSES);
--- a/src/gateway/members.rs
+++ b/src/gateway/members.rs
@@ -68,6 +68,7 @@
             front: self.front,
             zone: self.zone.clone(),
             leaving: self.leaving,
+            partitioned: self.partitioned,
             rate: self.rate,
             capacity: self.capacity,
         }
@@ -346,6 +347,7 @@
         front: s.front,
         zone: s.zone.clone(),
         leaving,
+        partitioned: gw.path.is_partitioned(),
         rate: gw.requests_per_s.get(),
         capacity: s.capacity,
     };
@@ -359,11 +361,12 @@
             view.routers = routers;
             view.ready = ready;
             let n = view.routers.iter().filter(|r| !r.leaving).count();
+            let partitioned = view.routers.iter().filter(|r| r.partitioned).count();
             let named = view.answer("", &s.zone, &s.regions).len();
             gw.log.note(
                 "members",
                 format_args!(
-                    "routers={} staying={n} ready={ready} named={named}",
+                    "routers={} staying={n} partitioned={partitioned} ready={ready} named={named}",
                     view.routers.len(),
                 ),
             );
--- a/tests/test_gateway_decisions.rs
+++ b/tests/test_gateway_decisions.rs
@@ -1,5 +1,6 @@
 //! Tests of the gateway's decisions, without sockets.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use kingcupwall::gateway::catalog::{Catalog, RouteKind, Share};
@@ -235,6 +236,7 @@
         front: format!("127.0.0.{n}:80").parse().unwrap(),
         zone: zone.into(),
         leaving,
+        partitioned: false,
         rate,
         capacity: 100,
     };
@@ -287,12 +289,42 @@
     }
 }
 
+#[rstest]
+#[case::one_of_zone(&[1], "a", &[2])]
+#[case::whole_zone(&[1, 2], "a", &[3])]
+#[case::whole_region(&[1, 2, 3], "a", &[1])]
+#[case::other_region(&[1, 2, 3], "c", &[4])]
+#[case::all(&[1, 2, 3, 4], "c", &[4])]
+fn entry_answer_partitioned(#[case] partitioned: &[u8], #[case] zone: &str, #[case] named: &[u8]) {
+    // Guards against sending callers to a router that is partitioned from the targets while another
+    // one near them is not, and to another region because all near ones are.
+    let addr = |n: u8| SocketAddr::from(([127, 0, 0, n], 80));
+    let router = |(n, zone): (u8, &str)| RouterEntry {
+        front: addr(n),
+        zone: zone.into(),
+        leaving: false,
+        partitioned: partitioned.contains(&n),
+        rate: 10,
+        capacity: 100,
+    };
+    let view = EntryView {
+        routers: [(1, "a"), (2, "a"), (3, "b"), (4, "c")].map(router).to_vec(),
+        ready: true,
+        ..EntryView::default()
+    };
+    let regions =
+        [("a", "south"), ("b", "south"), ("c", "north")].map(|(z, r)| (z.into(), r.into()));
+    let expected: Vec<_> = named.iter().map(|n| addr(*n)).collect();
+    assert_eq!(view.answer("", zone, &ZoneRegions::new(regions.to_vec())), expected);
+}
+
 #[test]
 fn entry_answer_largest_first() {
     let router = |n: u8, rate, capacity| RouterEntry {
         front: format!("127.0.0.{n}:80").parse().unwrap(),
         zone: "a".into(),
         leaving: false,
+        partitioned: false,
         rate,
         capacity,
     };
--- a/tests/test_gateway_homes.rs
+++ b/tests/test_gateway_homes.rs
@@ -72,6 +72,7 @@
         front: format!("127.0.0.{n}:80").parse().unwrap(),
         zone: zones[usize::from(*n) - 1].into(),
         leaving: false,
+        partitioned: false,
         rate: 0,
         capacity: 100,
     };
