Targets: refuse at once when nobody reaches them; tests of relays

While neither this router nor another one reaches a target, a request went on from target to target until its time limit. A check asks other routers 50 ms after its own connections began, not after their 300 ms, and gives them 250 ms.

Tests: a relay that was killed, all routers cut (held over 2 s before the second change), the return to direct connections, callers that leave, answers cut behind a relay, crashes behind a relay, a relay that is stopped, and requests for tunnels from strangers, for addresses and unknown targets.

--- a/src/gateway/connect.rs
+++ b/src/gateway/connect.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use futures_util::future::select_ok;
-use tokio::time::{Instant, sleep};
+use tokio::time::{Instant, sleep, timeout};
 
 use super::backend::Backend;
 use super::path::{Prefer, Verdict};
@@ -17,7 +17,12 @@
 use crate::stats::ReasonLabel;
 
 /// Number of targets to which a check connects.
-const CHECKED_TARGETS: usize = 3;
+const CHECKED_TARGETS: usize = 4;
+/// How long a check waits for a connection of this router before it asks other routers as well.
+const RELAYED_CHECK_DELAY: Duration = Duration::from_millis(50);
+/// How long a check waits for a connection that another router relays. If the target can be reached
+/// it takes a few milliseconds.
+const RELAYED_CHECK_TIMEOUT: Duration = Duration::from_millis(250);
 /// Number of routers through which a check connects.
 const CHECKED_RELAYS: usize = 2;
 /// Number of relays that are tried for one connection.
@@ -30,6 +35,8 @@
 pub enum ConnectError {
     /// The target refused the connection or did not answer.
     Target(io::Error),
+    /// Neither this router nor others that it asked reach this target or any other.
+    Nowhere(io::Error),
     /// This router is partitioned, and no other router could relay the connection.
     NoPath,
 }
@@ -47,32 +54,45 @@
     if !gw.path.is_partitioned() {
         match connect_directly(gw, backend).await {
             Ok(target_conn) => return Ok(target_conn),
-            Err(Some(e)) => return Err(ConnectError::Target(e)),
-            Err(None) => (),
+            Err(DirectError::Target(e)) => return Err(ConnectError::Target(e)),
+            Err(DirectError::Nowhere(e)) => return Err(ConnectError::Nowhere(e)),
+            Err(DirectError::Partitioned) => (),
         }
     }
     connect_relayed(gw, backend, allows_zone).await
 }
 
+/// Why no direct connection to a target was opened.
+#[derive(Debug)]
+pub(super) enum DirectError {
+    /// The target refused the connection or did not answer.
+    Target(io::Error),
+    /// As [`ConnectError::Nowhere`].
+    Nowhere(io::Error),
+    /// This router is partitioned from the targets.
+    Partitioned,
+}
+
 /// Connects to a target without a relay. The failure is recorded as the target's unless this router
 /// turns out to be partitioned.
 ///
 /// # Errors
-/// The error of connecting; `None` if this router is partitioned.
+/// See [`DirectError`].
 pub(super) async fn connect_directly<P: Platform>(
     gw: &Gateway<P>,
     backend: &Backend,
-) -> Result<TargetConn, Option<io::Error>> {
+) -> Result<TargetConn, DirectError> {
     let began = Instant::now();
     let e = match dial_directly(gw, backend).await {
         Ok(target_conn) => return Ok(target_conn),
         Err(e) => e,
     };
-    if check_path(gw, began).await == Verdict::Partitioned {
-        return Err(None);
+    let verdict = check_path(gw, began).await;
+    if verdict == Verdict::Partitioned {
+        return Err(DirectError::Partitioned);
     }
     backend.process_state.connect_failed(&e);
-    Err(Some(e))
+    Err(if verdict == Verdict::Unknown { DirectError::Nowhere(e) } else { DirectError::Target(e) })
 }
 
 async fn dial_directly<P: Platform>(gw: &Gateway<P>, backend: &Backend) -> io::Result<TargetConn> {
@@ -161,9 +181,17 @@
     }
     let check_began = Instant::now();
     let checked = fastrand::choose_multiple(gw.targets.all(), CHECKED_TARGETS);
-    let verdict = match open_any(gw, &checked).await {
-        true => Verdict::Reachable,
-        false => Verdict::of(false, open_any_relayed(gw, &checked).await),
+    let mut own = Box::pin(open_any(gw, &checked));
+    let relayed = || async {
+        timeout(RELAYED_CHECK_TIMEOUT, open_any_relayed(gw, &checked)).await.unwrap_or(false)
+    };
+    let verdict = match timeout(RELAYED_CHECK_DELAY, &mut own).await {
+        Ok(true) => Verdict::Reachable,
+        Ok(false) => Verdict::of(false, relayed().await),
+        Err(_) => {
+            let (own_opened, relayed_opened) = tokio::join!(own, relayed());
+            Verdict::of(own_opened, relayed_opened)
+        }
     };
     *last_check = Some((check_began, verdict));
     if verdict == Verdict::Partitioned {
--- a/src/gateway/outcome.rs
+++ b/src/gateway/outcome.rs
@@ -10,8 +10,7 @@
     /// Not sent, because the target accepts no request at the moment: it is cold and has no room,
     /// its zone has just been emptied, or it has just asked for no more requests.
     HeldOff,
-    /// Not sent, because this router is partitioned from the targets and no other router could relay
-    /// the request.
+    /// Not sent, because neither this router nor another one that it asked reaches the targets.
     NoPath,
     /// The target proved that it did not run the request.
     NotRun,
--- a/src/gateway/send.rs
+++ b/src/gateway/send.rs
@@ -60,7 +60,13 @@
             None => match connect(self.gw, backend, |z| self.allows_relay_zone(z)).await {
                 Ok(target_conn) => target_conn,
                 Err(ConnectError::Target(_)) => return Err(SendOutcome::NotSent),
-                Err(ConnectError::NoPath) => return Err(SendOutcome::NoPath),
+                // A second target that nobody reaches shows that the others are not worth a try.
+                Err(ConnectError::Nowhere(_)) if self.tried.len() == 1 => {
+                    return Err(SendOutcome::NotSent);
+                }
+                Err(ConnectError::Nowhere(_) | ConnectError::NoPath) => {
+                    return Err(SendOutcome::NoPath);
+                }
             },
         };
         self.via = target_conn.via;
--- a/src/gateway/tunnel.rs
+++ b/src/gateway/tunnel.rs
@@ -26,7 +26,7 @@
 use tokio::time::{Instant, sleep, timeout};
 
 use super::backend::Backend;
-use super::connect::connect_directly;
+use super::connect::{DirectError, connect_directly};
 use super::front::CountGuard;
 use super::pool::UNACKED_TIMEOUT;
 use super::state::{Gateway, Phase, Platform};
@@ -158,9 +158,11 @@
 async fn open_target<P: Platform>(gw: &Gateway<P>, backend: &Backend) -> Result<Conn, Rejection> {
     match connect_directly(gw, backend).await {
         Ok(target_conn) => Ok(target_conn.conn),
-        Err(None) => Err((503, "partitioned")),
-        Err(Some(e)) if e.kind() == io::ErrorKind::ConnectionRefused => Err((502, "refused")),
-        Err(Some(_)) => Err((504, "unanswered")),
+        Err(DirectError::Partitioned) => Err((503, "partitioned")),
+        Err(DirectError::Target(e) | DirectError::Nowhere(e)) => Err(match e.kind() {
+            io::ErrorKind::ConnectionRefused => (502, "refused"),
+            _ => (504, "unanswered"),
+        }),
     }
 }
 
--- a/tests/test_gateway_partition.rs
+++ b/tests/test_gateway_partition.rs
@@ -1,15 +1,19 @@
 //! Routers that are partitioned from the targets, while callers, the store and other routers reach
 //! them.
 
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::time::Duration;
 
+use kingcupwall::gateway::backend::target_digest;
 use kingcupwall::gateway::cold::WarmUp;
+use kingcupwall::gateway::drain;
+use kingcupwall::http1::Conn;
 use kingcupwall::standin::gateway::{LocalPlatform, catalog_parts};
 use kingcupwall::standin::gateway_host::GatewayHost;
-use kingcupwall::standin::gateway_target::StandinTarget;
+use kingcupwall::standin::gateway_target::{StandinTarget, TargetFault};
 use kingcupwall::standin::proxy::{Partition, Proxy};
 use rstest::rstest;
+use tokio::net::TcpSocket;
 use tokio::task::spawn_local;
 use tokio::time::{Instant, sleep};
 
@@ -21,6 +25,8 @@
 const PACE: Duration = Duration::from_millis(20);
 /// First attempts that are counted at each router.
 const COUNTED: usize = 90;
+/// How long callers wait for an answer.
+const CALLER_TIME_LIMIT: Duration = Duration::from_secs(4);
 /// Failed attempts that a partitioned router is allowed in any case, and one more for each of
 /// this number of attempts.
 const ALLOWED_FAILURES: usize = 10;
@@ -86,6 +92,19 @@
     }
 }
 
+/// Sends requests until the first router knows that it is partitioned.
+async fn eventually_partitioned(fleet: &Fleet) {
+    let a = fleet.routers[0].front;
+    for _ in 0..100 {
+        if fleet.routers[0].gw.path.is_partitioned() {
+            return;
+        }
+        spawn_local(first_attempts(a, 1));
+        sleep(PACE).await;
+    }
+    panic!("the router does not know that it is partitioned");
+}
+
 /// Sends `n` requests of all kinds, one every [`PACE`] on connections of their own. Returns how many
 /// were served at the first attempt.
 async fn first_attempts(router: SocketAddr, n: usize) -> usize {
@@ -165,6 +184,184 @@
     });
 }
 
+#[test]
+fn relays_that_stopped_are_passed_over() {
+    // Guards against requests that fail because the router that was to relay them has just been
+    // killed, while another one could.
+    run_local(async {
+        let mut fleet = Fleet::start(&["zone-1", "zone-1", "zone-2"], 1, None).await;
+        let a = fleet.routers[0].front;
+        fleet.partition(Partition::Reset);
+        first_attempts(a, 8).await;
+        assert!(fleet.routers[0].gw.path.is_partitioned());
+        fleet.routers.remove(1).kill();
+        assert_eq!(first_attempts(a, 30).await, 30);
+    });
+}
+
+#[rstest]
+#[case::silent(Partition::Silent)]
+#[case::reset(Partition::Reset)]
+fn unreachable_targets_refused_early(#[case] how: Partition) {
+    // Guards against holding requests until their time limit while no router reaches any target,
+    // and against a router that counts as partitioned because all are.
+    run_local(async {
+        let fleet = Fleet::start(&["zone-1", "zone-1"], 2, None).await;
+        let a = fleet.routers[0].front;
+        fleet.partition(how);
+        let call = Call::get("/safe/").id("u1");
+        let began = Instant::now();
+        // The kept connections of a silent partition still look usable.
+        first_attempts(a, 4).await;
+        let before = Instant::now();
+        let got = call.send(a).await;
+        assert_eq!(got.status(), 503, "{}", got.body);
+        assert!(got.header("Retry-After").is_some());
+        assert!(before.elapsed() < CALLER_TIME_LIMIT / 2, "{:?}", before.elapsed());
+        assert!(began.elapsed() < 4 * CALLER_TIME_LIMIT);
+        assert!(!fleet.routers[0].gw.path.is_partitioned());
+    });
+}
+
+#[test]
+fn partition_end_restores_direct_connections() {
+    // Guards against a router that keeps using other routers after its links are back.
+    run_local(async {
+        let fleet = Fleet::start(&["zone-1", "zone-1"], 1, None).await;
+        let (a, path) = (fleet.routers[0].front, &fleet.routers[0].gw.path);
+        fleet.partition(Partition::Reset);
+        first_attempts(a, 8).await;
+        assert!(path.is_partitioned());
+        eventually("the other router to learn it", || {
+            fleet.routers[1].gw.entry.borrow().routers.iter().any(|r| r.partitioned)
+        })
+        .await;
+        fleet.heal();
+        eventually("the end of the partition", || !path.is_partitioned()).await;
+        eventually("the other router to learn it", || {
+            !fleet.routers[1].gw.entry.borrow().routers.iter().any(|r| r.partitioned)
+        })
+        .await;
+        let served = || fleet.routers[1].gw.active_requests.get();
+        assert_eq!(first_attempts(a, 20).await, 20);
+        // Idle tunnels are closed by the first request that would have used them.
+        eventually("the end of all tunnels", || served() == 0).await;
+    });
+}
+
+#[test]
+fn relayed_request_cancelled_with_caller() {
+    // Guards against targets that work on after the caller of a partitioned router has left.
+    run_local(async {
+        let fleet = Fleet::start(&["zone-1", "zone-1"], 1, None).await;
+        let a = fleet.routers[0].front;
+        fleet.partition(Partition::Reset);
+        first_attempts(a, 8).await;
+        fleet.targets.iter().for_each(|t| t.set_event_gap(Duration::from_millis(20)));
+        let mut conn = Conn::dial(a, Duration::from_secs(5)).await.unwrap();
+        conn.write(&Call::get("/stream/").id("left").tokens(10, 1_000).bytes()).await.unwrap();
+        assert!(conn.wait_for_data().await.unwrap());
+        drop(conn);
+        let closed = || fleet.targets.iter().map(StandinTarget::closed_early).sum::<u64>();
+        eventually("the cancellation at the target", || closed() == 1).await;
+    });
+}
+
+#[test]
+fn relayed_answer_cut_by_target_is_incomplete() {
+    // Guards against a relay that turns the end of a broken answer into the end of a whole one.
+    run_local(async {
+        let fleet = Fleet::start(&["zone-1", "zone-1"], 1, None).await;
+        let a = fleet.routers[0].front;
+        fleet.partition(Partition::Reset);
+        first_attempts(a, 8).await;
+        for fault in [TargetFault::CutsStream(3), TargetFault::CutsBody, TargetFault::LosesAnswer] {
+            fleet.targets.iter().for_each(|t| t.fail(&[fault]));
+            let path = if fault == TargetFault::CutsStream(3) { "/stream/" } else { "/once/" };
+            let got = Call::get(path).id("cut").tokens(10, 20).send(a).await;
+            assert!(got.status() != 200 || !got.is_complete, "{fault:?}: {}", got.body);
+            // Each target has one fault left, which the next requests use up.
+            for n in 0..40 {
+                Call::get("/safe/").id(&format!("rest{n}")).send(a).await;
+            }
+        }
+    });
+}
+
+#[test]
+fn crash_behind_relay_recorded() {
+    // Guards against losing the quarantine while a router is partitioned: targets that end there
+    // really have ended.
+    run_local(async {
+        let fleet = Fleet::start(&["zone-1", "zone-1"], 1, None).await;
+        let a = fleet.routers[0].front;
+        fleet.partition(Partition::Silent);
+        eventually_partitioned(&fleet).await;
+        for n in 0..4 {
+            let call = Call::get("/once/fatal").id(&format!("f{n}")).body("fatal");
+            call.send(a).await;
+            sleep(PACE).await;
+        }
+        let ended = fleet.targets.iter().filter(|t| t.has_crashed()).count();
+        assert_eq!(ended, 3);
+        assert!(fleet.routers[0].gw.stats.target_crashes.get() >= 3);
+    });
+}
+
+#[test]
+fn stopping_relay_finishes_tunnels() {
+    // Guards against a planned stop of a relay that cuts off the answers of another router.
+    run_local(async {
+        let fleet = Fleet::start(&["zone-1", "zone-1"], 1, None).await;
+        let a = fleet.routers[0].front;
+        fleet.partition(Partition::Reset);
+        first_attempts(a, 8).await;
+        fleet.targets.iter().for_each(|t| t.set_event_gap(Duration::from_millis(50)));
+        let call = Call::get("/stream/").id("long").tokens(10, 60);
+        let got = spawn_local(async move { call.send(a).await });
+        let runs = || fleet.targets.iter().any(|t| t.runs().iter().any(|r| r.id == "long"));
+        eventually("the start of the stream", runs).await;
+        drain::stop(&fleet.routers[1].gw).await;
+        let got = got.await.unwrap();
+        assert_eq!((got.status(), got.is_complete), (200, true));
+    });
+}
+
+/// Sends one request for a tunnel. Returns the status; 0 if the connection was closed without one.
+async fn request_tunnel(from: &str, to: SocketAddr, request: &str) -> u16 {
+    let sock = TcpSocket::new_v4().unwrap();
+    sock.bind((from.parse::<IpAddr>().unwrap(), 0).into()).unwrap();
+    let mut conn = Conn::new(sock.connect(to).await.unwrap(), Duration::from_secs(5)).unwrap();
+    conn.write(request.as_bytes()).await.unwrap();
+    conn.read_response(1_024).await.map_or(0, |head| head.status)
+}
+
+#[test]
+fn tunnel_rejects_other_requests() {
+    // Guards against a relay that connects strangers, or connects to something else than a target.
+    run_local(async {
+        let fleet = Fleet::start(&["zone-1", "zone-1"], 0, None).await;
+        let gw = &fleet.routers[1].gw;
+        let to = gw.settings.peer;
+        let connect =
+            |target: String| format!("CONNECT {target} HTTP/1.1\r\nHost: {target}\r\n\r\n");
+        let known = connect(format!("{:016x}", target_digest("t0")));
+        assert_eq!(request_tunnel("127.0.0.1", to, &known).await, 200);
+        assert_eq!(request_tunnel("127.0.0.9", to, &known).await, 0);
+        let unknown = connect(format!("{:016x}", target_digest("t99")));
+        assert_eq!(request_tunnel("127.0.0.1", to, &unknown).await, 404);
+        let address = connect(fleet.targets[0].addr.to_string());
+        assert_eq!(request_tunnel("127.0.0.1", to, &address).await, 400);
+        let get = known.replace("CONNECT", "GET");
+        assert_eq!(request_tunnel("127.0.0.1", to, &get).await, 400);
+        assert_eq!(request_tunnel("127.0.0.1", to, "\x00\r\n\r\n").await, 400);
+        fleet.targets[0].crash();
+        assert_eq!(request_tunnel("127.0.0.1", to, &known).await, 502);
+        gw.path.set_partitioned(true);
+        assert_eq!(request_tunnel("127.0.0.1", to, &known).await, 503);
+    });
+}
+
 #[test]
 fn partition_quarantines_no_request() {
     // Guards against taking connections that this router's network refuses for crashes of targets:
