Targets: idle tunnels are closed when they may not be used any more

Idle connections are now checked at the start and end of a partition and, while it lasts, with each reading of the routers' table; connections opened by a check are not kept.

--- a/src/gateway/connect.rs
+++ b/src/gateway/connect.rs
@@ -199,6 +199,7 @@
         gw.stats.partitioned.set(1);
         // What was concluded about targets from this router's own network does not hold.
         gw.targets.all().iter().for_each(|b| b.reset_failures());
+        close_unusable_connections(gw);
     }
     let (ms, targets) = (check_began.elapsed().as_millis(), checked.len());
     gw.log.note("path", format_args!("check={verdict:?} targets={targets} ms={ms}"));
@@ -223,13 +224,7 @@
 async fn open_any_relayed<P: Platform>(gw: &Gateway<P>, backends: &[Rc<Backend>]) -> bool {
     let relays = gw.path.relays(CHECKED_RELAYS, Prefer::OtherZones, |_| true);
     let pairs = relays.iter().flat_map(|relay| backends.iter().map(|b| (*relay, b)));
-    let attempts = pairs.map(|(relay, b)| {
-        Box::pin(async move {
-            let target_conn = open_tunnel(gw, b, relay).await?;
-            target_conn.return_to(&mut b.pool.borrow_mut());
-            Ok::<(), TunnelError>(())
-        })
-    });
+    let attempts = pairs.map(|(relay, b)| Box::pin(open_tunnel(gw, b, relay)));
     let attempts: Vec<_> = attempts.collect();
     !attempts.is_empty() && select_ok(attempts).await.is_ok()
 }
@@ -242,6 +237,15 @@
     open_any_relayed(gw, std::slice::from_ref(backend)).await
 }
 
+/// Closes idle connections that must not be used any more. An idle tunnel would hold up a planned
+/// stop of its relay.
+pub(super) fn close_unusable_connections<P: Platform>(gw: &Gateway<P>) {
+    for backend in gw.targets.all() {
+        let mut pool = backend.pool.borrow_mut();
+        pool.close_unusable(|via, since| gw.path.is_usable(via, since, |_| true));
+    }
+}
+
 /// Ends the partition of this router once one of its own connections opens again. Never returns.
 pub async fn watch_path<P: Platform>(gw: Rc<Gateway<P>>) {
     loop {
@@ -253,6 +257,7 @@
         }
         if let Some(since) = gw.path.set_partitioned(false) {
             gw.stats.partitioned.set(0);
+            close_unusable_connections(&gw);
             let ms = since.elapsed().as_millis();
             gw.log.note("path", format_args!("state=reachable partitioned_ms={ms}"));
         }
--- a/src/gateway/members.rs
+++ b/src/gateway/members.rs
@@ -10,6 +10,7 @@
 use tokio::time::Instant;
 
 use super::cold::OwnerCandidate;
+use super::connect::close_unusable_connections;
 use super::entry::RouterEntry;
 use super::path::Relay;
 use super::quarantine::{CrashReport, Source};
@@ -291,6 +292,9 @@
     set_lenders(gw, &live);
     let can_relay = |o: &&&PeerRow| !o.entry.leaving && !o.entry.partitioned;
     gw.path.set_relays(live.iter().filter(can_relay).map(|o| o.as_relay()).collect());
+    if gw.path.is_partitioned() {
+        close_unusable_connections(gw);
+    }
     // A process that has just started to read the table counts every row. After a long outage of
     // the store the rows of live routers are stale as well, and each router would own all targets.
     let all: Vec<&PeerRow> = others.iter().collect();
--- a/src/gateway/path.rs
+++ b/src/gateway/path.rs
@@ -86,11 +86,6 @@
         TargetPath { zone, ..TargetPath::default() }
     }
 
-    /// Since when this router is partitioned from the targets; `None` if it is not.
-    pub fn partitioned_since(&self) -> Option<Instant> {
-        self.partitioned_since.get()
-    }
-
     /// Whether this router is partitioned from the targets.
     pub fn is_partitioned(&self) -> bool {
         self.partitioned_since.get().is_some()
@@ -151,9 +146,25 @@
         }
     }
 
-    /// Whether `addr` is a relay in an allowed zone.
-    pub fn is_relay(&self, addr: SocketAddr, allows_zone: impl Fn(&str) -> bool) -> bool {
-        self.relays.borrow().iter().any(|k| k.relay.addr == addr && allows_zone(&k.relay.zone))
+    /// Whether a connection to a target that is idle since `idle_since` may carry a request.
+    /// Relayed ones may while this router is partitioned and the relay in an allowed zone relays;
+    /// direct ones if they carried an answer since the partition was detected.
+    pub fn is_usable(
+        &self,
+        via: Option<SocketAddr>,
+        idle_since: Instant,
+        allows_zone: impl Fn(&str) -> bool,
+    ) -> bool {
+        let is_relay = |addr| {
+            let known = self.relays.borrow();
+            known.iter().any(|k| k.relay.addr == addr && allows_zone(&k.relay.zone))
+        };
+        match (via, self.partitioned_since.get()) {
+            (None, None) => true,
+            (Some(_), None) => false,
+            (Some(relay), Some(_)) => is_relay(relay),
+            (None, Some(since)) => idle_since > since,
+        }
     }
 
     /// At most `n` relays in allowed zones in the order in which to try them. Within the preferred
--- a/src/gateway/pool.rs
+++ b/src/gateway/pool.rs
@@ -92,14 +92,13 @@
 }
 
 impl Pool {
-    /// Takes an idle connection that is still open and holds no unexpected bytes. Closes those that
-    /// must not be used any more, given the relay and since when a connection is idle.
+    /// Takes an idle connection that is still open and holds no unexpected bytes, after
+    /// [`Pool::close_unusable`].
     pub fn take(
         &mut self,
         is_usable: impl Fn(Option<SocketAddr>, Instant) -> bool,
     ) -> Option<TargetConn> {
-        let now = Instant::now();
-        self.idle.retain(|i| i.reuse_until > now && is_usable(i.via, i.idle_since));
+        self.close_unusable(is_usable);
         while let Some(mut idle) = self.idle.pop() {
             if idle.conn.is_reusable() {
                 return Some(TargetConn {
@@ -113,6 +112,13 @@
         None
     }
 
+    /// Closes the idle connections that must not be used any more, given the relay and since when a
+    /// connection is idle.
+    pub fn close_unusable(&mut self, is_usable: impl Fn(Option<SocketAddr>, Instant) -> bool) {
+        let now = Instant::now();
+        self.idle.retain(|i| i.reuse_until > now && is_usable(i.via, i.idle_since));
+    }
+
     /// Returns a connection after a complete answer, if that answer allows reuse.
     /// `via` is the router that relays the connection, if any.
     pub fn put(&mut self, conn: Conn, via: Option<SocketAddr>, answer: &ResponseHead) {
--- a/src/gateway/send.rs
+++ b/src/gateway/send.rs
@@ -1,7 +1,6 @@
 //! One send to one target: writes the request and reads the part of the answer that is buffered
 //! before anything is forwarded.
 
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -46,13 +45,8 @@
         self.current_target = Some(backend.clone());
         self.sent_at = Instant::now();
         let in_flight = InFlight::begin(backend, plan, self.sent_at);
-        let partitioned_since = self.gw.path.partitioned_since();
-        let is_usable = |via: Option<SocketAddr>, idle_since| match (via, partitioned_since) {
-            (None, None) => true,
-            (Some(_), None) => false,
-            (Some(relay), Some(_)) => self.gw.path.is_relay(relay, |z| self.allows_relay_zone(z)),
-            // Connections that carried an answer since then survived the partition.
-            (None, Some(since)) => idle_since > since,
+        let is_usable = |via, idle_since| {
+            self.gw.path.is_usable(via, idle_since, |zone| self.allows_relay_zone(zone))
         };
         let pooled = backend.pool.borrow_mut().take(is_usable);
         let mut target_conn = match pooled {
