Zone orders: routers keep them in their rows

What callers would see: targets that end.

Cause, proven by the test: the new processes read a table without an order and have seen none, so nothing makes the targets count as cold. Both cases of cold_target_after_restart_of_all_routers end their target on the code before (the second: the order is revoked right before all are killed).

Each router's row keeps the orders that empty a zone and those of the last minute; a process reads the rows of its predecessor and of others. The same rule mends a late datagram with an order that has gone, which would have emptied the zone.

--- a/src/gateway/members.rs
+++ b/src/gateway/members.rs
@@ -15,6 +15,7 @@
 use super::path::Relay;
 use super::quarantine::{CrashReport, Source};
 use super::state::{Gateway, Phase, Platform};
+use super::zone_orders::ZoneOrder;
 use crate::allowance::Lender;
 use crate::error::{Error, Kind, Result};
 use crate::rows::{Page, Row, RowKey, StoreError, StoreMs, Tx, Ver};
@@ -28,6 +29,9 @@
 /// Age of a row after which its router no longer counts among those that may still retry requests,
 /// in milliseconds.
 const RETRYING_ROUTER_MAX_AGE_MS: u64 = 60_000;
+/// Age of a row after which its orders for zones do not count, in milliseconds. Targets have warmed
+/// up by then.
+const ORDERS_MAX_AGE_MS: u64 = 60_000;
 
 /// Number of reads after which all live routers have renewed their rows.
 const MIN_READS: u32 = 3;
@@ -55,6 +59,10 @@
     /// Crashes and completions observed by the router.
     #[serde(default)]
     report: CrashReport,
+    /// Recent orders for zones. If all routers end together, only the rows show that a zone was
+    /// emptied, and its targets may be cold when the order has gone.
+    #[serde(default)]
+    orders: Vec<ZoneOrder>,
 }
 
 impl Entry {
@@ -232,6 +240,7 @@
         capacity: s.capacity,
         beat: store_time,
         report: gw.crashes.report(store_time),
+        orders: gw.zones.lasting_orders(),
     };
     let at = RowKey::new(TABLE, &s.instance);
     // A late write of the predecessor must be read before it is overwritten: its crashes may be
@@ -277,6 +286,8 @@
     // Includes rows of routers that ended long ago, because their crashes still count.
     let peer_reports = others.iter().map(|o| (&o.entry.report, Source::Other));
     gw.crashes.merge_reports(predecessor_reports.chain(peer_reports), page.now);
+    let recent = own.iter().chain(&others).filter(|o| o.age_ms < ORDERS_MAX_AGE_MS);
+    recent.for_each(|o| gw.zones.merge_newer(&o.entry.orders, "row"));
     let stale_ms = reads.stale_ms(page.now);
     let live: Vec<&PeerRow> = others.iter().filter(|o| o.age_ms < stale_ms).collect();
     let zone = &gw.settings.zone;
--- a/src/gateway/zone_orders.rs
+++ b/src/gateway/zone_orders.rs
@@ -39,12 +39,22 @@
 pub struct ZoneOrders {
     /// Sorted by zone.
     known: Vec<KnownOrder>,
+    /// Version of the latest snapshot of the store's orders.
+    snapshot_ver: Ver,
 }
 
 impl ZoneOrders {
     /// Merges an order that was received at `now`. Returns whether it changes the state of the
-    /// zone. An order that is not newer than the known one is ignored, whatever its source.
+    /// zone. An order that is not newer than the known one is ignored, whatever its source. An order
+    /// to empty a zone that a later snapshot does not contain has been revoked.
     pub fn merge_newer(&mut self, order: &ZoneOrder, now: Instant) -> bool {
+        let is_revoked = order.emptied && order.ver <= self.snapshot_ver;
+        let order = match self.find(&order.zone) {
+            Err(_) if is_revoked => {
+                ZoneOrder { ver: self.snapshot_ver, emptied: false, ..order.clone() }
+            }
+            _ => order.clone(),
+        };
         let new = || KnownOrder { order: order.clone(), received_at: now };
         match self.find(&order.zone) {
             Ok(i) if self.known[i].order.ver >= order.ver => false,
@@ -56,11 +66,24 @@
             Err(_) if self.known.len() >= MAX_ZONES => false,
             Err(i) => {
                 self.known.insert(i, new());
-                order.emptied
+                order.emptied || is_revoked
             }
         }
     }
 
+    /// Records that the orders of a snapshot of this version were merged.
+    pub fn record_snapshot(&mut self, ver: Ver) {
+        self.snapshot_ver = self.snapshot_ver.max(ver);
+    }
+
+    /// The orders that a process which starts now must know: those that empty a zone, and those that
+    /// were received less than `keep_time` ago.
+    pub fn lasting(&self, now: Instant, keep_time: Duration) -> Vec<ZoneOrder> {
+        let is_recent = |k: &KnownOrder| now.saturating_duration_since(k.received_at) < keep_time;
+        let lasts = |k: &&KnownOrder| k.order.emptied || is_recent(k);
+        self.known.iter().filter(lasts).map(|k| k.order.clone()).collect()
+    }
+
     /// The zones that are emptied, sorted.
     pub fn emptied(&self) -> Vec<CompactString> {
         let emptied = self.known.iter().filter(|k| k.order.emptied);
--- a/src/gateway/zones.rs
+++ b/src/gateway/zones.rs
@@ -31,6 +31,9 @@
     Duration::from_secs(2),
     Duration::from_secs(4),
 ];
+/// How long a router's row keeps orders that returned a zone to service. Targets of the zone may be
+/// cold for as long as they warm up.
+const ORDER_KEEP_TIME: Duration = Duration::from_secs(60);
 /// Maximum number of orders in one datagram.
 const MAX_ORDERS_PER_DATAGRAM: usize = 16;
 
@@ -86,6 +89,12 @@
         let gone = self.orders.borrow().missing_from(&listed, ver);
         let all: Vec<ZoneOrder> = orders.iter().cloned().chain(gone).collect();
         self.merge_newer(&all, "store");
+        self.orders.borrow_mut().record_snapshot(ver);
+    }
+
+    /// The orders that this router's row keeps for its successor.
+    pub fn lasting_orders(&self) -> Vec<ZoneOrder> {
+        self.orders.borrow().lasting(Instant::now(), ORDER_KEEP_TIME)
     }
 
     /// Merges the orders that are newer than the known ones, and schedules them for forwarding.
--- a/tests/test_gateway_cold.rs
+++ b/tests/test_gateway_cold.rs
@@ -269,6 +269,39 @@
     });
 }
 
+#[rstest]
+#[case::restored_while_down(true)]
+#[case::restored_before(false)]
+fn cold_target_after_restart_of_all_routers(#[case] restored_while_down: bool) {
+    // Guards against sending all requests at once to targets of a zone that was restored while no
+    // router was running, or right before all were killed: the new processes have seen no order.
+    run_local(async {
+        let mut fleet = Fleet::start(2, 0, 1).await;
+        fleet.platform.empty_zone("zone-1");
+        for r in &fleet.routers {
+            eventually("emptying the zone", || r.gw.zones.is_emptied("zone-1")).await;
+        }
+        // Each router renews its row every 2 s.
+        sleep(Duration::from_millis(2_300)).await;
+        if !restored_while_down {
+            fleet.platform.restore_zone("zone-1");
+            for r in &fleet.routers {
+                eventually("restoring the zone", || !r.gw.zones.is_emptied("zone-1")).await;
+            }
+        }
+        fleet.routers.drain(..).for_each(GatewayHost::kill);
+        fleet.platform.restore_zone("zone-1");
+        for name in ["r1", "r2"] {
+            let router = GatewayHost::start(&fleet.platform, name, "zone-1", 2).await.unwrap();
+            fleet.routers.push(router);
+        }
+        fleet.targets[0].set_cold(Some(COLD_CAPACITY));
+        fleet.burst(20).await;
+        let target = &fleet.targets[0];
+        assert!(!target.has_crashed(), "{} requests within a second", target.peak_while_cold());
+    });
+}
+
 #[test]
 fn cold_target_unknown_when_zone_is_restored() {
     // Guards against sending all requests at once to a target whose zone was restored before this
--- a/tests/test_gateway_orders.rs
+++ b/tests/test_gateway_orders.rs
@@ -56,6 +56,40 @@
     assert_eq!(orders.emptied(), ["b"]);
 }
 
+#[rstest]
+#[case::before_snapshot(5, true, false, Some(Duration::ZERO))]
+#[case::after_snapshot(10, true, true, None)]
+#[case::restored_before_snapshot(5, false, false, Some(Duration::ZERO))]
+fn orders_learnt_after_snapshot(
+    #[case] ver: u64,
+    #[case] emptied: bool,
+    #[case] is_emptied: bool,
+    #[case] in_service_for: Option<Duration>,
+) {
+    // Guards against a zone that a late message empties although the store's order has gone.
+    let mut orders = ZoneOrders::default();
+    let now = Instant::now();
+    orders.record_snapshot(Ver(9));
+    orders.merge_newer(&order("a", ver, emptied), now);
+    assert_eq!(orders.is_emptied("a"), is_emptied);
+    assert_eq!(orders.in_service_for("a", now), in_service_for);
+}
+
+#[test]
+fn orders_lasting() {
+    let mut orders = ZoneOrders::default();
+    let (start, keep_time) = (Instant::now(), Duration::from_secs(60));
+    for (zone, ver, emptied) in [("a", 1, true), ("b", 2, true), ("b", 3, false)] {
+        orders.merge_newer(&order(zone, ver, emptied), start);
+    }
+    let zones_at = |s| -> Vec<_> {
+        let lasting = orders.lasting(start + Duration::from_secs(s), keep_time);
+        lasting.into_iter().map(|o| (o.zone, o.emptied)).collect()
+    };
+    assert_eq!(zones_at(59), [("a".into(), true), ("b".into(), false)]);
+    assert_eq!(zones_at(61), [("a".into(), true)]);
+}
+
 #[rstest]
 #[case::no_restriction(&[], &[], &[], "a", None)]
 #[case::emptied(&["a"], &[], &[], "a", Some(ExclusionReason::Emptied))]
