Targets: a check of the path outlives its request; relays of several zones

Found by reading. A check ran inside the request that found the failure: a caller that left ended it, and the next request began another, so that callers with less time than a check takes could have kept a router from ever knowing. It runs in a task of its own now.

While a whole zone is cut off, not all of its routers know it yet. A relay that failed comes last for 3 s, by when its row shows the reason. Asking other routers whether a target has ended is limited to 250 ms, so that a crash is recorded in time.

--- a/src/gateway/connect.rs
+++ b/src/gateway/connect.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use futures_util::future::select_ok;
+use tokio::task::spawn_local;
 use tokio::time::{Instant, sleep, timeout};
 
 use super::backend::Backend;
@@ -25,8 +26,9 @@
 const RELAYED_CHECK_TIMEOUT: Duration = Duration::from_millis(250);
 /// Number of routers through which a check connects.
 const CHECKED_RELAYS: usize = 2;
-/// Number of relays that are tried for one connection.
-const MAX_RELAYS: usize = 3;
+/// Number of relays in this router's zone, and in other zones, that are tried for one connection.
+/// The whole zone may be partitioned without all of its routers knowing it yet.
+const MAX_RELAYS: [(usize, Prefer); 2] = [(1, Prefer::SameZone), (2, Prefer::OtherZones)];
 /// Interval between two attempts of a partitioned router to connect directly.
 pub const RETURN_PROBE_INTERVAL: Duration = Duration::from_millis(500);
 
@@ -47,7 +49,7 @@
 /// # Errors
 /// See [`ConnectError`].
 pub async fn connect<P: Platform>(
-    gw: &Gateway<P>,
+    gw: &Rc<Gateway<P>>,
     backend: &Backend,
     allows_zone: impl Fn(&str) -> bool,
 ) -> Result<TargetConn, ConnectError> {
@@ -79,7 +81,7 @@
 /// # Errors
 /// See [`DirectError`].
 pub(super) async fn connect_directly<P: Platform>(
-    gw: &Gateway<P>,
+    gw: &Rc<Gateway<P>>,
     backend: &Backend,
 ) -> Result<TargetConn, DirectError> {
     let began = Instant::now();
@@ -118,7 +120,14 @@
     backend: &Backend,
     allows_zone: impl Fn(&str) -> bool,
 ) -> Result<TargetConn, ConnectError> {
-    for relay in gw.path.relays(MAX_RELAYS, Prefer::SameZone, allows_zone) {
+    let mut relays = Vec::new();
+    for (n, prefer) in MAX_RELAYS {
+        let next = gw.path.relays(n, prefer, &allows_zone);
+        let is_new = |relay: &SocketAddr| !relays.contains(relay);
+        let new: Vec<_> = next.into_iter().filter(is_new).collect();
+        relays.extend(new);
+    }
+    for relay in relays {
         match open_tunnel(gw, backend, relay).await {
             Ok(target_conn) => return Ok(target_conn),
             Err(TunnelError::TargetRefused) => {
@@ -160,20 +169,19 @@
 }
 
 /// Determines whether this router is partitioned from the targets, after a connection or request
-/// that began at `began` failed. Concurrent callers share one check.
-pub async fn check_path<P: Platform>(gw: &Gateway<P>, began: Instant) -> Verdict {
-    let known = || {
-        if gw.path.is_partitioned() {
-            Some(Verdict::Partitioned)
-        } else {
-            gw.path.has_opened_since(began).then_some(Verdict::Reachable)
-        }
-    };
-    if let Some(verdict) = known() {
-        return verdict;
+/// that began at `began` failed. Concurrent callers share one check. It runs in a task of its own,
+/// so that it completes even if the caller of this request leaves.
+pub async fn check_path<P: Platform>(gw: &Rc<Gateway<P>>, began: Instant) -> Verdict {
+    match gw.path.known_verdict(began) {
+        Some(verdict) => verdict,
+        None => spawn_local(run_check(gw.clone(), began)).await.unwrap_or(Verdict::Unknown),
     }
+}
+
+async fn run_check<P: Platform>(gw: Rc<Gateway<P>>, began: Instant) -> Verdict {
+    let gw = &gw;
     let mut last_check = gw.path.last_check.lock().await;
-    if let Some(verdict) = known() {
+    if let Some(verdict) = gw.path.known_verdict(began) {
         return verdict;
     }
     if let Some((_, verdict)) = last_check.filter(|(check_began, _)| *check_began >= began) {
@@ -234,7 +242,8 @@
     gw: &Gateway<P>,
     backend: &Rc<Backend>,
 ) -> bool {
-    open_any_relayed(gw, std::slice::from_ref(backend)).await
+    let opened = open_any_relayed(gw, std::slice::from_ref(backend));
+    timeout(RELAYED_CHECK_TIMEOUT, opened).await.unwrap_or(false)
 }
 
 /// Closes idle connections that must not be used any more. An idle tunnel would hold up a planned
--- a/src/gateway/path.rs
+++ b/src/gateway/path.rs
@@ -14,8 +14,9 @@
 use tokio::sync::{Mutex, Notify};
 use tokio::time::Instant;
 
-/// How long a router that failed to relay a connection is used only after all others.
-const RELAY_PAUSE: Duration = Duration::from_secs(1);
+/// How long a router that failed to relay a connection is used only after all others. By then its
+/// row shows whether it is partitioned itself.
+const RELAY_PAUSE: Duration = Duration::from_secs(3);
 
 /// Why the connections of this router to several targets failed.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -96,9 +97,13 @@
         self.last_opened.set(self.last_opened.get().max(Some(began)));
     }
 
-    /// Whether an attempt of this router to connect that began after `began` succeeded.
-    pub fn has_opened_since(&self, began: Instant) -> bool {
-        self.last_opened.get().is_some_and(|at| at >= began)
+    /// The verdict that needs no check, about a connection or request that began at `began`.
+    pub fn known_verdict(&self, began: Instant) -> Option<Verdict> {
+        if self.is_partitioned() {
+            return Some(Verdict::Partitioned);
+        }
+        let has_opened = self.last_opened.get().is_some_and(|at| at >= began);
+        has_opened.then_some(Verdict::Reachable)
     }
 
     /// Sets whether this router is partitioned. Returns since when it was partitioned before;
--- a/src/gateway/tunnel.rs
+++ b/src/gateway/tunnel.rs
@@ -155,7 +155,10 @@
     gw.targets.by_digest(digest).ok_or((404, "unknown_target"))
 }
 
-async fn open_target<P: Platform>(gw: &Gateway<P>, backend: &Backend) -> Result<Conn, Rejection> {
+async fn open_target<P: Platform>(
+    gw: &Rc<Gateway<P>>,
+    backend: &Backend,
+) -> Result<Conn, Rejection> {
     match connect_directly(gw, backend).await {
         Ok(target_conn) => Ok(target_conn.conn),
         Err(DirectError::Partitioned) => Err((503, "partitioned")),
