Soak: routers are cut off from all targets, beside all other faults

Each router reaches each target over a link of its own, so one router, several or a whole zone can be cut off: packets lost, connections reset, or only new ones refused. The series is drawn apart from the other faults, so kept seeds keep theirs. The check counts as callers see it: requests at cut routers from 3 s on, against those at others in the same time, without routers that were disturbed otherwise. check_cuts_cases holds the check to that.

test_api prints the reason of an unexpected status (known red, not traced).

--- /dev/null
+++ b/soak/src/cuts.rs
@@ -0,0 +1,161 @@
+//! Partitions routers from all targets while other faults are injected, and checks that their
+//! callers are served like those of other routers.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use compact_str::CompactString;
+use fastrand::Rng;
+use kingcupwall::standin::proxy::{Partition, Proxy};
+use tokio::time::{Instant, sleep};
+
+use crate::callers::Exchange;
+use crate::notices::{Disturbance, is_disturbed};
+use crate::testbed::Testbed;
+
+/// Combined with the seed by XOR for the random sequence of cuts, so that the sequence of faults
+/// does not depend on it. The bytes spell "cuts".
+const CUT_SEED_MASK: u64 = 0x6375_7473;
+/// Range of the pause before a cut, in milliseconds.
+const PAUSE_MS: std::ops::Range<u64> = 300..2_000;
+/// Range of the duration of a cut, in milliseconds.
+const CUT_MS: std::ops::Range<u64> = 3_200..4_800;
+/// Time from the start of a cut after which its routers must serve like the others.
+const DETECTION_TIME: Duration = Duration::from_secs(3);
+/// Failed requests that are allowed in any case, and one more for each of this number of requests.
+const ALLOWED_FAILURES: usize = 10;
+const REQUESTS_PER_ALLOWED_FAILURE: usize = 50;
+
+/// The links of one router to all targets.
+#[derive(Default)]
+pub(crate) struct RouterLinks {
+    /// By id of the target.
+    links: Vec<(CompactString, Proxy)>,
+    cut: Option<Partition>,
+}
+
+impl RouterLinks {
+    /// Adds the link to a new target. It is cut if the router is.
+    pub(crate) fn add(&mut self, target: &str, link: Proxy) {
+        if let Some(how) = self.cut {
+            link.partition(how);
+        }
+        self.links.push((target.into(), link));
+    }
+
+    /// The address at which the router reaches a target.
+    pub(crate) fn addr(&self, target: &str) -> Option<SocketAddr> {
+        self.links.iter().find(|(id, _)| id == target).map(|(_, link)| link.addr)
+    }
+
+    /// Ends the link to a target that has ended.
+    pub(crate) fn close(&self, target: &str) {
+        self.links.iter().filter(|(id, _)| id == target).for_each(|(_, link)| link.close());
+    }
+
+    fn set_cut(&mut self, cut: Option<Partition>) {
+        let stalled = self.cut == Some(Partition::Silent);
+        self.cut = cut;
+        for (_, link) in &self.links {
+            match cut {
+                Some(how) => link.partition(how),
+                None => {
+                    // Bytes that a partition held back are lost: their sender has given up.
+                    if stalled {
+                        link.reset();
+                    }
+                    link.heal();
+                }
+            }
+        }
+    }
+}
+
+/// A period in which some routers were cut off from all targets.
+#[derive(Clone, Debug)]
+pub struct Cut {
+    /// The routers, by the address that callers connect to.
+    pub routers: Vec<SocketAddr>,
+    /// When the period began.
+    pub from: Instant,
+    /// When the period ended.
+    pub to: Instant,
+}
+
+impl Testbed {
+    /// Cuts off one router after the other, or several at once but never all, until `until`.
+    pub(crate) async fn cut_routers(self: Rc<Testbed>, until: Instant, seed: u64) -> Vec<Cut> {
+        let mut rng = Rng::with_seed(seed ^ CUT_SEED_MASK);
+        let mut cuts = Vec::new();
+        let all = self.routers.len();
+        let mut fronts = Vec::new();
+        for router in &self.routers {
+            fronts.push(router.lock().await.front_addr());
+        }
+        loop {
+            let (first, count) = (rng.usize(..all), rng.usize(1..all.max(2)));
+            let hows = [Partition::Silent, Partition::Reset, Partition::RefuseNew];
+            let how = rng.choice(hows).expect("there is at least one kind of partition");
+            let pause = Duration::from_millis(rng.u64(PAUSE_MS));
+            let duration = Duration::from_millis(rng.u64(CUT_MS));
+            if all < 2 || Instant::now() + pause + duration > until {
+                return cuts;
+            }
+            sleep(pause).await;
+            let cut: Vec<usize> = (0..count).map(|i| (first + i) % all).collect();
+            let from = Instant::now();
+            cut.iter().for_each(|r| self.target_links[*r].borrow_mut().set_cut(Some(how)));
+            sleep(duration).await;
+            cut.iter().for_each(|r| self.target_links[*r].borrow_mut().set_cut(None));
+            let routers: Vec<_> = cut.iter().map(|r| fronts[*r]).collect();
+            let to = Instant::now();
+            let mut disturbances = self.router_disturbances.borrow_mut();
+            disturbances.extend(routers.iter().map(|r| Disturbance { subject: *r, from, to }));
+            cuts.push(Cut { routers, from, to });
+        }
+    }
+}
+
+/// Returns the cuts in which requests at routers that were cut off were served less than two thirds
+/// as often as at the others, and too many failed. Only routers without another disturbance count.
+/// `disturbances` contains those of the cuts themselves.
+pub fn check(
+    exchanges: &[&Exchange],
+    cuts: &[Cut],
+    disturbances: &[Disturbance<SocketAddr>],
+) -> Vec<String> {
+    cuts.iter().filter_map(|cut| check_cut(exchanges, cut, disturbances)).collect()
+}
+
+fn check_cut(
+    exchanges: &[&Exchange],
+    cut: &Cut,
+    disturbances: &[Disturbance<SocketAddr>],
+) -> Option<String> {
+    let of_cut = |d: &Disturbance<SocketAddr>| {
+        cut.routers.contains(&d.subject) && (d.from, d.to) == (cut.from, cut.to)
+    };
+    let others: Vec<_> = disturbances.iter().filter(|d| !of_cut(d)).cloned().collect();
+    let is_sound = |router| !is_disturbed(&others, router, cut.from, cut.to);
+    let counted = |is_cut: bool| -> (usize, usize) {
+        let in_time = |e: &&&Exchange| e.sent_at >= cut.from + DETECTION_TIME && e.sent_at < cut.to;
+        let sent: Vec<_> = exchanges
+            .iter()
+            .filter(in_time)
+            .filter(|e| cut.routers.contains(&e.router) == is_cut && is_sound(&e.router))
+            .collect();
+        let served = sent.iter().filter(|e| e.status == Some(200) && e.is_complete).count();
+        (served, sent.len())
+    };
+    let ((served, sent), (served_elsewhere, sent_elsewhere)) = (counted(true), counted(false));
+    let is_rare = served * 3 * sent_elsewhere < served_elsewhere * 2 * sent;
+    let too_many =
+        sent - served > ALLOWED_FAILURES + (sent + sent_elsewhere) / REQUESTS_PER_ALLOWED_FAILURE;
+    (is_rare && too_many).then(|| {
+        format!(
+            "cut of {} routers: {served} of {sent} requests served, {served_elsewhere} of {sent_elsewhere} at others",
+            cut.routers.len()
+        )
+    })
+}
--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod callers;
 pub mod checks;
+pub mod cuts;
 pub mod fatal;
 mod fault_injection;
 pub mod faults;
--- a/soak/src/notices.rs
+++ b/soak/src/notices.rs
@@ -41,7 +41,8 @@
     pub to: Instant,
 }
 
-fn is_disturbed<T: PartialEq>(
+/// Whether the subject was disturbed at any time between `from` and `to`.
+pub(crate) fn is_disturbed<T: PartialEq>(
     disturbances: &[Disturbance<T>],
     subject: &T,
     from: Instant,
--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -14,6 +14,7 @@
 
 use crate::callers::run_caller;
 use crate::checks::check;
+use crate::cuts::{self, Cut};
 use crate::fatal;
 use crate::notices;
 use crate::routers::STOP_GRACE_S;
@@ -89,9 +90,11 @@
     let emptied =
         spawn_local(zones::empty_zones(testbed.store.clone(), targets, until, setup.seed));
     let notices_sent = spawn_local(testbed.clone().send_notices(until, setup.seed));
+    let cuts = spawn_local(testbed.clone().cut_routers(until, setup.seed));
     let faults = testbed.inject_faults(setup).await;
     let emptied = emptied.await?;
     notices_sent.await?;
+    let cuts = cuts.await?;
     sleep(SETTLE_TIME).await;
     let before = testbed.runs();
     testbed.check_recovery().await;
@@ -100,6 +103,7 @@
         .into_iter()
         .for_each(|v| testbed.record_violation(v));
     testbed.check_notices();
+    testbed.check_cuts(&cuts);
     testbed.callers.stop_requested.set(true);
     for router in &testbed.routers {
         let mut router = router.lock().await;
@@ -181,6 +185,16 @@
             .for_each(|v| self.record_violation(v));
     }
 
+    /// Checks the requests of the organisation with ample prepaid tokens.
+    fn check_cuts(&self, cuts: &[Cut]) {
+        let exchange_log = self.callers.exchange_log.borrow();
+        let well_funded: Vec<_> =
+            exchange_log.iter().filter(|e| e.org == PREPAID_TOKENS.len() - 1).collect();
+        cuts::check(&well_funded, cuts, &self.router_disturbances.borrow())
+            .into_iter()
+            .for_each(|v| self.record_violation(v));
+    }
+
     /// All runs at all targets so far, including removed targets.
     fn runs(&self) -> Vec<ReceivedRequest> {
         self.all_targets().iter().flat_map(StandinTarget::runs).collect()
--- a/soak/src/testbed.rs
+++ b/soak/src/testbed.rs
@@ -19,6 +19,7 @@
 use tokio::time::{Instant, sleep, timeout_at};
 
 use crate::callers::{Callers, HOST, RequestKind, SEAL_HEADER};
+use crate::cuts::RouterLinks;
 use crate::notices::Disturbance;
 use crate::routers::RouterProcess;
 use crate::store;
@@ -62,6 +63,8 @@
     /// The link of each router to the store.
     pub(crate) store_links: Vec<Proxy>,
     pub(crate) routers: Vec<Mutex<RouterProcess>>,
+    /// The links of each router to all targets, in front of the targets' own links.
+    pub(crate) target_links: Vec<Rc<RefCell<RouterLinks>>>,
     /// The current targets, each with the link to it.
     pub(crate) targets: RefCell<Vec<(StandinTarget, Proxy)>>,
     /// Replaced targets. The checks still include their runs.
@@ -92,13 +95,16 @@
         let store = MemoryRows::new();
         let (mut store_handles, mut store_links, mut routers) =
             (Vec::new(), Vec::new(), Vec::new());
+        let mut target_links = Vec::new();
         for n in 0..setup.routers {
             let handle = store.new_client();
             let listener = TcpListener::bind((format!("{ip}.250"), 0)).await?;
             let bytes_per_s = (n % 2 == 1).then_some(NARROW_LINK_BYTES_PER_S);
             let link =
                 Proxy::start(&format!("{ip}.251"), listener.local_addr()?, bytes_per_s).await?;
-            spawn_local(store::serve(listener, handle.clone()));
+            let links: Rc<RefCell<RouterLinks>> = Rc::default();
+            spawn_local(store::serve(listener, handle.clone(), links.clone()));
+            target_links.push(links);
             let (router_ip, zone) = (format!("{ip}.{}", n + 1), format!("zone-{}", n / 2 % 2));
             let router = RouterProcess::new(logs, &setup.daemon, &router_ip, n, &zone, link.addr)?;
             store_handles.push(handle);
@@ -116,6 +122,7 @@
             store_handles,
             store_links,
             routers: routers.into_iter().map(Mutex::new).collect(),
+            target_links,
             targets: RefCell::default(),
             removed_targets: RefCell::default(),
             callers: Rc::new(callers),
@@ -202,6 +209,10 @@
         let target = StandinTarget::start_named(&id, "model", &zone, headers).await?;
         target.set_event_gap(EVENT_GAP);
         let link = Proxy::start(&format!("{}.252", self.ip), target.addr, None).await?;
+        for links in &self.target_links {
+            let router_link = Proxy::start(&format!("{}.253", self.ip), link.addr, None).await?;
+            links.borrow_mut().add(&id, router_link);
+        }
         // The initial targets start before the routers and are warm.
         let is_cold = self.replacements.get() > 0;
         if is_cold {
@@ -228,6 +239,7 @@
     async fn restart_after_end(self: Rc<Testbed>, n: usize, target: StandinTarget, link: Proxy) {
         target.wait_for_crash().await;
         link.close();
+        self.target_links.iter().for_each(|l| l.borrow().close(&target.id));
         sleep(TARGET_DOWNTIME).await;
         let is_there = self.targets.borrow()[n].0.id == target.id;
         if is_there {
--- a/soak/tests/tests.rs
+++ b/soak/tests/tests.rs
@@ -8,6 +8,7 @@
 use kingcupwall::standin::gateway_target::{Arrival, ReceivedRequest as TargetRun};
 use kingcupwall_soak::callers::{Exchange, RequestKind};
 use kingcupwall_soak::checks::check;
+use kingcupwall_soak::cuts::{self, Cut};
 use kingcupwall_soak::faults::{FleetSize, random_fault};
 use kingcupwall_soak::notices::{Disturbance, Observations, check_backoff, check_leaving};
 use kingcupwall_soak::run::{Setup, run};
@@ -166,6 +167,39 @@
     assert_eq!(check_backoff("t1", &arrivals, &observed).len(), expected);
 }
 
+// A router that reaches no target refuses its callers while another one serves. A few failures, the
+// first 3 s, and routers that were disturbed otherwise are no violation.
+#[rstest]
+#[case::refused(3.5, 0, 40, false, 1)]
+#[case::within_detection_time(2.5, 0, 40, false, 0)]
+#[case::few_failures(3.5, 0, 10, false, 0)]
+#[case::two_thirds_served(3.5, 30, 14, false, 0)]
+#[case::killed_meanwhile(3.5, 0, 40, true, 0)]
+fn check_cuts_cases(
+    #[case] sent_s: f64,
+    #[case] served: usize,
+    #[case] refused: usize,
+    #[case] killed: bool,
+    #[case] expected: usize,
+) {
+    let (from, other) = (Instant::now(), SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 2));
+    let sent = |router, status| Exchange {
+        router,
+        sent_at: from + seconds(sent_s),
+        ..exchange(RequestKind::NonIdempotent, status, "")
+    };
+    let at_cut = (0..served + refused).map(|n| sent(ROUTER, if n < served { 200 } else { 503 }));
+    let all: Vec<_> = at_cut.chain((0..20).map(|_| sent(other, 200))).collect();
+    let cut = Cut { routers: vec![ROUTER], from, to: from + seconds(4.5) };
+    let mut disturbances = vec![Disturbance { subject: ROUTER, from, to: cut.to }];
+    if killed {
+        let at = from + seconds(1.0);
+        disturbances.push(Disturbance { subject: ROUTER, from: at, to: at });
+    }
+    let all: Vec<&Exchange> = all.iter().collect();
+    assert_eq!(cuts::check(&all, &[cut], &disturbances).len(), expected);
+}
+
 // A seed can only reproduce a failure if it always gives the same faults.
 #[test]
 fn random_fault_same_seed() {
--- a/tests/test_api.rs
+++ b/tests/test_api.rs
@@ -153,7 +153,8 @@
     };
     let (status, kind, _) = kind_of(post("file").body("x").send().await.unwrap()).await;
     assert_eq!((status, kind.as_str()), (400, "bad_request"));
-    assert_eq!(post("status").body("x").send().await.unwrap().status(), 200);
+    let got = post("status").body("x").send().await.unwrap();
+    assert_eq!(got.status(), 200, "{}", got.text().await.unwrap());
     let filed = post("file").header(IDEMPOTENCY_KEY, "c1").body("x").send().await.unwrap();
     assert_eq!(filed.status(), 200);
     let calls = t.target.target.calls();
