--- a/tests/test_gateway_partition.rs
+++ b/tests/test_gateway_partition.rs
@@ -139,6 +139,7 @@
 }
 
 fn assert_served_alike(partitioned: usize, other: usize) {
+    println!("{partitioned} of {COUNTED} served at a partitioned router, {other} at the other");
     assert!(other + 1 >= COUNTED, "{other} of {COUNTED} served at a sound router");
     let failed = COUNTED - partitioned;
     assert!(
