Tunnels are opened from the router's own address

A relay accepts tunnels from known routers only, by address, and the connection came from whatever address the system chose: on an instance with several addresses every relay rejected it, and each check ended Unknown. Tunnels are bound to the address that the router's row states, as its datagrams are.

tunnel_opened_from_address holds it. The line of a check is logged when its result changes: with all targets gone it was written for every request.

--- a/src/gateway/connect.rs
+++ b/src/gateway/connect.rs
@@ -152,7 +152,7 @@
     relay: SocketAddr,
 ) -> Result<TargetConn, TunnelError> {
     let began = Instant::now();
-    let opened = tunnel::open(relay, backend.id_digest).await;
+    let opened = tunnel::open(gw.settings.peer.ip(), relay, backend.id_digest).await;
     let reason = match &opened {
         Ok(_) => "opened",
         Err(TunnelError::TargetRefused) => "refused",
@@ -201,7 +201,7 @@
             Verdict::of(own_opened, relayed_opened)
         }
     };
-    *last_check = Some((check_began, verdict));
+    let before = last_check.replace((check_began, verdict)).map(|(_, verdict)| verdict);
     if verdict == Verdict::Partitioned {
         gw.path.set_partitioned(true);
         gw.stats.partitioned.set(1);
@@ -209,8 +209,10 @@
         gw.targets.all().iter().for_each(|b| b.reset_failures());
         close_unusable_connections(gw);
     }
-    let (ms, targets) = (check_began.elapsed().as_millis(), checked.len());
-    gw.log.note("path", format_args!("check={verdict:?} targets={targets} ms={ms}"));
+    if before != Some(verdict) {
+        let (ms, targets) = (check_began.elapsed().as_millis(), checked.len());
+        gw.log.note("path", format_args!("check={verdict:?} targets={targets} ms={ms}"));
+    }
     verdict
 }
 
--- a/src/gateway/tunnel.rs
+++ b/src/gateway/tunnel.rs
@@ -15,7 +15,7 @@
 //! | 504 | the target did not answer the relay |
 
 use std::io;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -56,13 +56,18 @@
     RelayFailed,
 }
 
-/// Opens a tunnel through the router at `relay` to the target with this digest.
+/// Opens a tunnel through the router at `relay` to the target with this digest. The relay knows this
+/// router by its address `from`.
 ///
 /// # Errors
 /// See [`TunnelError`]. Nothing was sent to the target.
-pub async fn open(relay: SocketAddr, target_digest: u64) -> Result<Conn, TunnelError> {
+pub async fn open(
+    from: IpAddr,
+    relay: SocketAddr,
+    target_digest: u64,
+) -> Result<Conn, TunnelError> {
     let opened = async {
-        let mut conn = Conn::dial(relay, UNACKED_TIMEOUT).await.ok()?;
+        let mut conn = Conn::dial_from(from, relay, UNACKED_TIMEOUT).await.ok()?;
         let request =
             format!("CONNECT {target_digest:016x} HTTP/1.1\r\nHost: {target_digest:016x}\r\n\r\n");
         conn.write(request.as_bytes()).await.ok()?;
--- a/src/http1/conn.rs
+++ b/src/http1/conn.rs
@@ -1,7 +1,7 @@
 //! A buffered TCP connection, used for both callers and targets.
 
 use std::io;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
@@ -64,6 +64,20 @@
         Conn::new(sock.connect(addr).await?, unacked_timeout)
     }
 
+    /// Connects to `addr` from the local address `from`.
+    ///
+    /// # Errors
+    /// The error of binding or connecting. There is no timeout here; callers set one.
+    pub async fn dial_from(
+        from: IpAddr,
+        addr: SocketAddr,
+        unacked_timeout: Duration,
+    ) -> io::Result<Conn> {
+        let sock = if from.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
+        sock.bind(SocketAddr::new(from, 0))?;
+        Conn::new(sock.connect(addr).await?, unacked_timeout)
+    }
+
     /// Reads more bytes. Cancel safe: no byte is lost.
     async fn fill(&mut self) -> io::Result<usize> {
         if self.buf.is_empty() && self.buf.capacity() > MAX_READ_AHEAD_BYTES {
--- a/tests/test_gateway_partition.rs
+++ b/tests/test_gateway_partition.rs
@@ -7,6 +7,7 @@
 use kingcupwall::gateway::backend::target_digest;
 use kingcupwall::gateway::cold::WarmUp;
 use kingcupwall::gateway::drain;
+use kingcupwall::gateway::tunnel::{self, TunnelError};
 use kingcupwall::http1::Conn;
 use kingcupwall::standin::gateway::{LocalPlatform, catalog_parts};
 use kingcupwall::standin::gateway_host::GatewayHost;
@@ -328,6 +329,20 @@
     });
 }
 
+#[rstest]
+#[case::address_of_a_router("127.0.0.1", None)]
+#[case::other_address("127.0.0.9", Some(TunnelError::RelayFailed))]
+fn tunnel_opened_from_address(#[case] from: &str, #[case] error: Option<TunnelError>) {
+    // Guards against tunnels from another address of the instance than the one by which the relay
+    // knows this router.
+    run_local(async {
+        let fleet = Fleet::start(&["zone-1", "zone-1"], 0, None).await;
+        let relay = fleet.routers[1].gw.settings.peer;
+        let opened = tunnel::open(from.parse().unwrap(), relay, target_digest("t0")).await;
+        assert_eq!(opened.err(), error);
+    });
+}
+
 /// Sends one request for a tunnel. Returns the status; 0 if the connection was closed without one.
 async fn request_tunnel(from: &str, to: SocketAddr, request: &str) -> u16 {
     let sock = TcpSocket::new_v4().unwrap();
