--- a/soak/src/cuts.rs
+++ b/soak/src/cuts.rs
@@ -89,10 +89,6 @@
         let mut rng = Rng::with_seed(seed ^ CUT_SEED_MASK);
         let mut cuts = Vec::new();
         let all = self.routers.len();
-        let mut fronts = Vec::new();
-        for router in &self.routers {
-            fronts.push(router.lock().await.front_addr());
-        }
         loop {
             let (first, count) = (rng.usize(..all), rng.usize(1..all.max(2)));
             let hows = [Partition::Silent, Partition::Reset, Partition::RefuseNew];
@@ -108,7 +104,7 @@
             cut.iter().for_each(|r| self.target_links[*r].borrow_mut().set_cut(Some(how)));
             sleep(duration).await;
             cut.iter().for_each(|r| self.target_links[*r].borrow_mut().set_cut(None));
-            let routers: Vec<_> = cut.iter().map(|r| fronts[*r]).collect();
+            let routers: Vec<_> = cut.iter().map(|r| self.fronts[*r]).collect();
             let to = Instant::now();
             let mut disturbances = self.router_disturbances.borrow_mut();
             disturbances.extend(routers.iter().map(|r| Disturbance { subject: *r, from, to }));
@@ -118,8 +114,9 @@
 }
 
 /// Returns the cuts in which requests at routers that were cut off were served less than two thirds
-/// as often as at the others, and too many failed. Only routers without another disturbance count.
-/// `disturbances` contains those of the cuts themselves.
+/// as often as at the others, and too many failed. Only routers without another disturbance, of
+/// themselves or of their calls to the store, count. `disturbances` contains those of the cuts
+/// themselves.
 pub fn check(
     exchanges: &[&Exchange],
     cuts: &[Cut],
--- a/soak/src/fault_injection.rs
+++ b/soak/src/fault_injection.rs
@@ -93,6 +93,20 @@
     }
 
     async fn inject(self: Rc<Testbed>, fault: Fault) {
+        let impaired = match fault {
+            Fault::Store(r, ..) | Fault::StoreLink(r, ..) | Fault::StoreReset(r) => vec![r],
+            Fault::Partition(..) | Fault::AllStoreLinks(..) => (0..self.routers.len()).collect(),
+            _ => Vec::new(),
+        };
+        let from = Instant::now();
+        self.clone().apply(fault).await;
+        let to = Instant::now();
+        let disturbances =
+            impaired.iter().map(|r| Disturbance { subject: self.fronts[*r], from, to });
+        self.store_disturbances.borrow_mut().extend(disturbances);
+    }
+
+    async fn apply(self: Rc<Testbed>, fault: Fault) {
         match fault {
             Fault::Store(r, fault, d) => {
                 self.store_handles[r].set_fault(fault);
--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -190,7 +190,10 @@
         let exchange_log = self.callers.exchange_log.borrow();
         let well_funded: Vec<_> =
             exchange_log.iter().filter(|e| e.org == PREPAID_TOKENS.len() - 1).collect();
-        cuts::check(&well_funded, cuts, &self.router_disturbances.borrow())
+        let store = self.store_disturbances.borrow();
+        let disturbances =
+            self.router_disturbances.borrow().iter().chain(&*store).cloned().collect::<Vec<_>>();
+        cuts::check(&well_funded, cuts, &disturbances)
             .into_iter()
             .for_each(|v| self.record_violation(v));
     }
--- a/soak/src/testbed.rs
+++ b/soak/src/testbed.rs
@@ -81,6 +81,10 @@
     /// Violations that were found while the testbed ran.
     pub(crate) recorded_violations: RefCell<Vec<String>>,
     pub(crate) router_disturbances: RefCell<Vec<Disturbance<SocketAddr>>>,
+    /// Periods in which a router's calls to the store were impaired.
+    pub(crate) store_disturbances: RefCell<Vec<Disturbance<SocketAddr>>>,
+    /// Addresses of the routers that callers connect to.
+    pub(crate) fronts: Vec<SocketAddr>,
     pub(crate) link_disturbances: RefCell<Vec<Disturbance<CompactString>>>,
     /// The first three octets of the testbed's loopback addresses.
     pub(crate) ip: CompactString,
@@ -111,6 +115,7 @@
             store_links.push(link);
             routers.push(router);
         }
+        let fronts = routers.iter().map(RouterProcess::front_addr).collect();
         let callers = Callers {
             directories: routers.iter().map(RouterProcess::directory_addr).collect(),
             keys: (0..PREPAID_TOKENS.len()).map(|n| format_compact!("key-{n}")).collect(),
@@ -132,6 +137,8 @@
             replacements: Cell::new(0),
             recorded_violations: RefCell::default(),
             router_disturbances: RefCell::default(),
+            store_disturbances: RefCell::default(),
+            fronts,
             link_disturbances: RefCell::default(),
             ip,
         });
