Tests of the path: one link that refuses, impatient callers, order of relays

refusals_of_one_link_quarantine_no_request: a target that refuses this router only, while others accept (no crash may be recorded). partition_detected_with_impatient_callers: callers that leave after 0.4 s, less than a failed connection and a check take together. Pure: order and weights of relays, which idle connections may be used, the verdict.

Soak: cuts last 5 to 8 s.

--- a/soak/src/cuts.rs
+++ b/soak/src/cuts.rs
@@ -18,9 +18,9 @@
 /// does not depend on it. The bytes spell "cuts".
 const CUT_SEED_MASK: u64 = 0x6375_7473;
 /// Range of the pause before a cut, in milliseconds.
-const PAUSE_MS: std::ops::Range<u64> = 300..2_000;
+const PAUSE_MS: std::ops::Range<u64> = 300..1_500;
 /// Range of the duration of a cut, in milliseconds.
-const CUT_MS: std::ops::Range<u64> = 3_200..4_800;
+const CUT_MS: std::ops::Range<u64> = 5_000..8_000;
 /// Time from the start of a cut after which its routers must serve like the others.
 const DETECTION_TIME: Duration = Duration::from_secs(3);
 /// Failed requests that are allowed in any case, and one more for each of this number of requests.
@@ -114,9 +114,9 @@
 }
 
 /// Returns the cuts in which requests at routers that were cut off were served less than two thirds
-/// as often as at the others, and too many failed. Only routers without another disturbance, of
-/// themselves or of their calls to the store, count. `disturbances` contains those of the cuts
-/// themselves.
+/// as often as at the others, and too many failed. A request counts if its router had no other
+/// disturbance, of itself or of its calls to the store, in the time before it was sent in which a
+/// router detects a cut. `disturbances` contains those of the cuts themselves.
 pub fn check(
     exchanges: &[&Exchange],
     cuts: &[Cut],
@@ -134,13 +134,16 @@
         cut.routers.contains(&d.subject) && (d.from, d.to) == (cut.from, cut.to)
     };
     let others: Vec<_> = disturbances.iter().filter(|d| !of_cut(d)).cloned().collect();
-    let is_sound = |router| !is_disturbed(&others, router, cut.from, cut.to);
+    let was_sound = |e: &Exchange| {
+        let since = e.sent_at.checked_sub(DETECTION_TIME).unwrap_or(cut.from);
+        !is_disturbed(&others, &e.router, since, e.sent_at)
+    };
     let counted = |is_cut: bool| -> (usize, usize) {
         let in_time = |e: &&&Exchange| e.sent_at >= cut.from + DETECTION_TIME && e.sent_at < cut.to;
         let sent: Vec<_> = exchanges
             .iter()
             .filter(in_time)
-            .filter(|e| cut.routers.contains(&e.router) == is_cut && is_sound(&e.router))
+            .filter(|e| cut.routers.contains(&e.router) == is_cut && was_sound(e))
             .collect();
         let served = sent.iter().filter(|e| e.status == Some(200) && e.is_complete).count();
         (served, sent.len())
--- a/tests/test_gateway_partition.rs
+++ b/tests/test_gateway_partition.rs
@@ -7,6 +7,7 @@
 use kingcupwall::gateway::backend::target_digest;
 use kingcupwall::gateway::cold::WarmUp;
 use kingcupwall::gateway::drain;
+use kingcupwall::gateway::path::{Prefer, Relay, TargetPath, Verdict};
 use kingcupwall::gateway::tunnel::{self, TunnelError};
 use kingcupwall::http1::Conn;
 use kingcupwall::standin::gateway::{LocalPlatform, catalog_parts};
@@ -409,6 +410,129 @@
     });
 }
 
+#[test]
+fn refusals_of_one_link_quarantine_no_request() {
+    // Guards against taking a target for ended that refuses this router only, while the router
+    // reaches all other targets.
+    run_local(async {
+        let fleet = Fleet::start(&["zone-1", "zone-1"], 1, None).await;
+        fleet.targets.iter().for_each(|t| t.set_event_gap(Duration::from_millis(50)));
+        let a = fleet.routers[0].front;
+        for n in 0..4 {
+            let id = format!("s{n}");
+            let call = Call::get("/stream/a").id(&id).tokens(10, 200).body("the same request");
+            let got = spawn_local(async move { call.send(a).await });
+            let runs_here = |t: &StandinTarget| t.runs().iter().any(|r| r.id == id.as_str());
+            let running = || fleet.targets.iter().position(runs_here);
+            eventually("the start of the request", || running().is_some()).await;
+            let link = &fleet.links[0][running().unwrap()];
+            link.partition(Partition::Reset);
+            got.await.unwrap();
+            // The check whether the target has ended runs in the background.
+            sleep(Duration::from_millis(500)).await;
+            link.heal();
+        }
+        assert_eq!(fleet.routers[0].gw.stats.target_crashes.get(), 0);
+        assert!(!fleet.routers[0].gw.path.is_partitioned());
+    });
+}
+
+#[test]
+fn partition_detected_with_impatient_callers() {
+    // Guards against a router that never learns that it is partitioned because each caller leaves
+    // before the check that its request began is over.
+    run_local(async {
+        let fleet = Fleet::start(&["zone-1", "zone-1"], 1, None).await;
+        let a = fleet.routers[0].front;
+        fleet.partition(Partition::Silent);
+        let until = Instant::now() + DETECTION_TIME;
+        while Instant::now() < until && !fleet.routers[0].gw.path.is_partitioned() {
+            spawn_local(async move {
+                let mut conn = Conn::dial(a, Duration::from_secs(5)).await.unwrap();
+                let call = Call::get("/once/").id(&format!("{}", fastrand::u64(..)));
+                conn.write(&call.bytes()).await.unwrap();
+                sleep(Duration::from_millis(400)).await;
+            });
+            sleep(PACE).await;
+        }
+        assert!(fleet.routers[0].gw.path.is_partitioned());
+    });
+}
+
+fn relay(n: u8, zone: &str, capacity: u32) -> Relay {
+    Relay { addr: ([127, 0, 0, n], 80).into(), zone: zone.into(), capacity }
+}
+
+#[tokio::test(start_paused = true)]
+async fn relays_order() {
+    let path = TargetPath::new("a".into());
+    let known = || vec![relay(1, "a", 100), relay(2, "b", 100), relay(3, "c", 100)];
+    path.set_relays(known());
+    let order = |prefer, allows_zone: fn(&str) -> bool| -> Vec<u8> {
+        let last_octet = |addr: SocketAddr| match addr.ip() {
+            IpAddr::V4(ip) => ip.octets()[3],
+            IpAddr::V6(_) => 0,
+        };
+        path.relays(3, prefer, allows_zone).into_iter().map(last_octet).collect()
+    };
+    let any: fn(&str) -> bool = |_| true;
+    for _ in 0..50 {
+        assert_eq!(order(Prefer::SameZone, any)[0], 1);
+        assert_eq!(order(Prefer::OtherZones, any)[2], 1);
+        assert_eq!(order(Prefer::SameZone, |zone| zone != "a").len(), 2);
+    }
+    // A relay that failed comes last, also after the next reading of the routers' table.
+    path.pause_relay(relay(1, "a", 100).addr);
+    path.set_relays(known());
+    assert_eq!(order(Prefer::SameZone, any)[2], 1);
+    tokio::time::advance(Duration::from_secs(4)).await;
+    assert_eq!(order(Prefer::SameZone, any)[0], 1);
+}
+
+#[test]
+fn relays_drawn_by_capacity() {
+    // Guards against a small router that relays as much as a large one.
+    let path = TargetPath::new("a".into());
+    path.set_relays(vec![relay(1, "a", 300), relay(2, "a", 100)]);
+    let first = |_: &u32| path.relays(1, Prefer::SameZone, |_| true)[0] == relay(1, "a", 300).addr;
+    let large = (0..4_000).filter(first).count();
+    assert!((2_700..3_300).contains(&large), "{large}");
+}
+
+#[rstest]
+#[case::direct(false, None, 0, true)]
+#[case::relayed(false, Some(1), 0, false)]
+#[case::partitioned_direct_before(true, None, 0, false)]
+#[case::partitioned_direct_after(true, None, 20, true)]
+#[case::partitioned_relayed(true, Some(1), 0, true)]
+#[case::partitioned_relay_unknown(true, Some(9), 0, false)]
+#[case::partitioned_relay_zone_not_allowed(true, Some(2), 0, false)]
+#[tokio::test(start_paused = true)]
+async fn is_usable_connection(
+    #[case] partitioned: bool,
+    #[case] via: Option<u8>,
+    #[case] idle_since_ms: u64,
+    #[case] usable: bool,
+) {
+    let path = TargetPath::new("a".into());
+    path.set_relays(vec![relay(1, "a", 100), relay(2, "b", 100)]);
+    let start = Instant::now();
+    tokio::time::advance(Duration::from_millis(10)).await;
+    path.set_partitioned(partitioned);
+    let via = via.map(|n| relay(n, "a", 100).addr);
+    let idle_since = start + Duration::from_millis(idle_since_ms);
+    assert_eq!(path.is_usable(via, idle_since, |zone| zone == "a"), usable);
+}
+
+#[rstest]
+#[case::target_at_fault(true, false, Verdict::Reachable)]
+#[case::both(true, true, Verdict::Reachable)]
+#[case::cut_off(false, true, Verdict::Partitioned)]
+#[case::nobody(false, false, Verdict::Unknown)]
+fn verdict_of(#[case] own: bool, #[case] relayed: bool, #[case] expected: Verdict) {
+    assert_eq!(Verdict::of(own, relayed), expected);
+}
+
 #[test]
 fn partition_makes_no_target_cold() {
     // Guards against limiting the requests to all targets after a partition, because a target to
