--- a/soak/src/cuts.rs
+++ b/soak/src/cuts.rs
@@ -23,8 +23,12 @@
 const CUT_MS: std::ops::Range<u64> = 5_000..8_000;
 /// Time from the start of a cut after which its routers must serve like the others.
 const DETECTION_TIME: Duration = Duration::from_secs(3);
+/// How long requests are counted in the cut without other faults.
+const CALM_WINDOW: Duration = Duration::from_secs(3);
 /// Failed requests that are allowed in any case, and one more for each of this number of requests.
-const ALLOWED_FAILURES: usize = 10;
+pub const ALLOWED_FAILURES: usize = 10;
+/// The same without other faults. Callers that wait for their time limit send few requests.
+pub(crate) const ALLOWED_FAILURES_IN_CALM: usize = 2;
 const REQUESTS_PER_ALLOWED_FAILURE: usize = 50;
 
 /// The links of one router to all targets.
@@ -90,27 +94,45 @@
         let mut cuts = Vec::new();
         let all = self.routers.len();
         loop {
-            let (first, count) = (rng.usize(..all), rng.usize(1..all.max(2)));
-            let hows = [Partition::Silent, Partition::Reset, Partition::RefuseNew];
-            let how = rng.choice(hows).expect("there is at least one kind of partition");
+            let (cut, how) = random_cut(&mut rng, all);
             let pause = Duration::from_millis(rng.u64(PAUSE_MS));
             let duration = Duration::from_millis(rng.u64(CUT_MS));
             if all < 2 || Instant::now() + pause + duration > until {
                 return cuts;
             }
             sleep(pause).await;
-            let cut: Vec<usize> = (0..count).map(|i| (first + i) % all).collect();
-            let from = Instant::now();
-            cut.iter().for_each(|r| self.target_links[*r].borrow_mut().set_cut(Some(how)));
-            sleep(duration).await;
-            cut.iter().for_each(|r| self.target_links[*r].borrow_mut().set_cut(None));
-            let routers: Vec<_> = cut.iter().map(|r| self.fronts[*r]).collect();
-            let to = Instant::now();
-            let mut disturbances = self.router_disturbances.borrow_mut();
-            disturbances.extend(routers.iter().map(|r| Disturbance { subject: *r, from, to }));
-            cuts.push(Cut { routers, from, to });
+            let cut = self.cut(&cut, how, duration).await;
+            let (from, to) = (cut.from, cut.to);
+            let disturbed = cut.routers.iter().map(|r| Disturbance { subject: *r, from, to });
+            self.router_disturbances.borrow_mut().extend(disturbed);
+            cuts.push(cut);
         }
     }
+
+    /// Cuts off all routers but one while there are no other faults.
+    pub(crate) async fn cut_in_calm(&self, seed: u64) -> Cut {
+        let mut rng = Rng::with_seed(!seed);
+        let (spared, how) = (rng.usize(..self.routers.len()), random_cut(&mut rng, 1).1);
+        let cut: Vec<usize> = (0..self.routers.len()).filter(|r| *r != spared).collect();
+        self.cut(&cut, how, DETECTION_TIME + CALM_WINDOW).await
+    }
+
+    async fn cut(&self, cut: &[usize], how: Partition, duration: Duration) -> Cut {
+        let from = Instant::now();
+        cut.iter().for_each(|r| self.target_links[*r].borrow_mut().set_cut(Some(how)));
+        sleep(duration).await;
+        let to = Instant::now();
+        cut.iter().for_each(|r| self.target_links[*r].borrow_mut().set_cut(None));
+        Cut { routers: cut.iter().map(|r| self.fronts[*r]).collect(), from, to }
+    }
+}
+
+/// Draws the routers to cut off, some but not all of `all`, and how.
+fn random_cut(rng: &mut Rng, all: usize) -> (Vec<usize>, Partition) {
+    let (first, count) = (rng.usize(..all), rng.usize(1..all.max(2)));
+    let hows = [Partition::Silent, Partition::Reset, Partition::RefuseNew];
+    let how = rng.choice(hows).expect("there is at least one kind of partition");
+    ((0..count).map(|i| (first + i) % all).collect(), how)
 }
 
 /// Returns the cuts in which requests at routers that were cut off were served less than two thirds
@@ -121,14 +143,17 @@
     exchanges: &[&Exchange],
     cuts: &[Cut],
     disturbances: &[Disturbance<SocketAddr>],
+    allowed_failures: usize,
 ) -> Vec<String> {
-    cuts.iter().filter_map(|cut| check_cut(exchanges, cut, disturbances)).collect()
+    let check_one = |cut| check_cut(exchanges, cut, disturbances, allowed_failures);
+    cuts.iter().filter_map(check_one).collect()
 }
 
 fn check_cut(
     exchanges: &[&Exchange],
     cut: &Cut,
     disturbances: &[Disturbance<SocketAddr>],
+    allowed_failures: usize,
 ) -> Option<String> {
     let of_cut = |d: &Disturbance<SocketAddr>| {
         cut.routers.contains(&d.subject) && (d.from, d.to) == (cut.from, cut.to)
@@ -151,7 +176,7 @@
     let ((served, sent), (served_elsewhere, sent_elsewhere)) = (counted(true), counted(false));
     let is_rare = served * 3 * sent_elsewhere < served_elsewhere * 2 * sent;
     let too_many =
-        sent - served > ALLOWED_FAILURES + (sent + sent_elsewhere) / REQUESTS_PER_ALLOWED_FAILURE;
+        sent - served > allowed_failures + (sent + sent_elsewhere) / REQUESTS_PER_ALLOWED_FAILURE;
     (is_rare && too_many).then(|| {
         format!(
             "cut of {} routers: {served} of {sent} requests served, {served_elsewhere} of {sent_elsewhere} at others",
--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -12,9 +12,9 @@
 use tokio::task::spawn_local;
 use tokio::time::{Instant, sleep};
 
-use crate::callers::run_caller;
+use crate::callers::{REQUEST_TIMEOUT, run_caller};
 use crate::checks::check;
-use crate::cuts::{self, Cut};
+use crate::cuts::{self, ALLOWED_FAILURES, ALLOWED_FAILURES_IN_CALM, Cut};
 use crate::fatal;
 use crate::notices;
 use crate::routers::STOP_GRACE_S;
@@ -103,7 +103,11 @@
         .into_iter()
         .for_each(|v| testbed.record_violation(v));
     testbed.check_notices();
-    testbed.check_cuts(&cuts);
+    testbed.check_cuts(&cuts, ALLOWED_FAILURES);
+    let calm_cut = testbed.cut_in_calm(setup.seed).await;
+    // Requests that were sent at the end of the cut have their answers after this.
+    sleep(REQUEST_TIMEOUT).await;
+    testbed.check_cuts(&[calm_cut], ALLOWED_FAILURES_IN_CALM);
     testbed.callers.stop_requested.set(true);
     for router in &testbed.routers {
         let mut router = router.lock().await;
@@ -186,14 +190,14 @@
     }
 
     /// Checks the requests of the organisation with ample prepaid tokens.
-    fn check_cuts(&self, cuts: &[Cut]) {
+    fn check_cuts(&self, cuts: &[Cut], allowed_failures: usize) {
         let exchange_log = self.callers.exchange_log.borrow();
         let well_funded: Vec<_> =
             exchange_log.iter().filter(|e| e.org == PREPAID_TOKENS.len() - 1).collect();
         let store = self.store_disturbances.borrow();
         let disturbances =
             self.router_disturbances.borrow().iter().chain(&*store).cloned().collect::<Vec<_>>();
-        cuts::check(&well_funded, cuts, &disturbances)
+        cuts::check(&well_funded, cuts, &disturbances, allowed_failures)
             .into_iter()
             .for_each(|v| self.record_violation(v));
     }
--- a/soak/tests/tests.rs
+++ b/soak/tests/tests.rs
@@ -8,7 +8,7 @@
 use kingcupwall::standin::gateway_target::{Arrival, ReceivedRequest as TargetRun};
 use kingcupwall_soak::callers::{Exchange, RequestKind};
 use kingcupwall_soak::checks::check;
-use kingcupwall_soak::cuts::{self, Cut};
+use kingcupwall_soak::cuts::{self, ALLOWED_FAILURES, Cut};
 use kingcupwall_soak::faults::{FleetSize, random_fault};
 use kingcupwall_soak::notices::{Disturbance, Observations, check_backoff, check_leaving};
 use kingcupwall_soak::run::{Setup, run};
@@ -197,7 +197,7 @@
         disturbances.push(Disturbance { subject: ROUTER, from: at, to: at });
     }
     let all: Vec<&Exchange> = all.iter().collect();
-    assert_eq!(cuts::check(&all, &[cut], &disturbances).len(), expected);
+    assert_eq!(cuts::check(&all, &[cut], &disturbances, ALLOWED_FAILURES).len(), expected);
 }
 
 // A seed can only reproduce a failure if it always gives the same faults.
