Targets: keep the software version of each target and log it

The version of an entry was parsed and dropped, so no line could show whether a stream continued at another version. An empty or overlong version counts as unknown; such a target is used as before.

No decision uses the version yet.

--- a/src/gateway/backend.rs
+++ b/src/gateway/backend.rs
@@ -2,8 +2,10 @@
 //! and health as measured by this router's own requests.
 
 use std::cell::{Cell, RefCell};
+use std::fmt;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::str::FromStr;
 use std::time::Duration;
 
 use compact_str::CompactString;
@@ -16,6 +18,7 @@
 use super::quarantine::Incarnation;
 use super::request::PromptPart;
 use super::timing::{FirstTokenModel, PrefillWork};
+use crate::error::{Error, Kind, Result};
 use crate::ids::Digest;
 
 /// Number of consecutive failures after which a target is unhealthy, that is, used only if no
@@ -30,6 +33,9 @@
 /// step of an engine takes about 10 ms, and a slot becomes free every few steps.
 const REJECTION_PAUSE: Duration = Duration::from_millis(120);
 
+/// Maximum length of a software version, in bytes.
+const MAX_VERSION_BYTES: usize = 200;
+
 /// Whether a target accepts new requests.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum TargetState {
@@ -44,6 +50,30 @@
     Digest::of(id.as_bytes()).first_u64()
 }
 
+/// Version of a target's software, as its entry states it. It is never empty.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct SoftwareVersion(CompactString);
+
+impl fmt::Display for SoftwareVersion {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.0)
+    }
+}
+
+impl FromStr for SoftwareVersion {
+    type Err = Error;
+
+    /// # Errors
+    /// `BadFormat` if the version is empty or longer than [`MAX_VERSION_BYTES`].
+    fn from_str(s: &str) -> Result<SoftwareVersion> {
+        if s.is_empty() || s.len() > MAX_VERSION_BYTES {
+            let problem = format!("a software version has 1 to {MAX_VERSION_BYTES} bytes");
+            return Err(Error::new(Kind::BadFormat, problem));
+        }
+        Ok(SoftwareVersion(s.into()))
+    }
+}
+
 /// The entry of a target in the store.
 #[derive(Clone, Debug, PartialEq)]
 pub struct TargetInfo {
@@ -63,6 +93,8 @@
     pub warm_up: Duration,
     /// When the target started, if it reports that. A target may start again under the same id.
     pub started_at: Option<StartedMs>,
+    /// Version of the target's software; `None` if its entry states none that is valid.
+    pub version: Option<SoftwareVersion>,
 }
 
 /// Start time of a target in Unix milliseconds, by the target's own clock.
@@ -155,6 +187,11 @@
         self.info.borrow().id.clone()
     }
 
+    /// Version of the target's software; `None` if it is not known.
+    pub fn version(&self) -> Option<SoftwareVersion> {
+        self.info.borrow().version.clone()
+    }
+
     /// The target's address.
     pub fn addr(&self) -> SocketAddr {
         self.info.borrow().addr
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -486,7 +486,8 @@
         self.gw.log.note(
             "send",
             format_args!(
-                "id={id} target={target} via={} ended={ended:?} runs={runs_before} sends={} at_ms={ms}",
+                "id={id} target={target} version={} via={} ended={ended:?} runs={runs_before} sends={} at_ms={ms}",
+                OrDash(backend.version()),
                 OrDash(self.via),
                 self.send_counts.sends
             ),
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -50,7 +50,7 @@
 pub mod zone_orders;
 pub mod zones;
 
-pub use backend::{StartedMs, TargetInfo, TargetState};
+pub use backend::{SoftwareVersion, StartedMs, TargetInfo, TargetState};
 pub use catalog::{Catalog, CatalogParts, Limits, Organisation, Route, RouteKind, Service};
 pub use entry::EntryView;
 pub use request::HeaderNames;
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -8,7 +8,7 @@
 use tokio::time::{timeout, timeout_at};
 
 use super::catalog::RouteKind;
-use super::forward::Job;
+use super::forward::{Job, OrDash};
 use super::liveness::await_probe;
 use super::refusal::RouterResponse;
 use super::reply::{RemainingBody, Reply};
@@ -248,7 +248,8 @@
         job.gw.log.note(
             "stream_broken",
             format_args!(
-                "id={id} target={from} events={events} last={last:?} resumes={may_resume}"
+                "id={id} target={from} version={} events={events} last={last:?} resumes={may_resume}",
+                OrDash(self.in_flight.backend().version())
             ),
         );
         let found = job.spawn_crash_check(self.in_flight.backend());
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -34,6 +34,8 @@
     pub output_estimate: CompactString,
     /// Id of the last event that the caller received.
     pub last_event_id: CompactString,
+    /// Id of the request that brought the first event of a stream that the caller resumes.
+    pub resumes: CompactString,
     /// Name of the organisation, set for targets.
     pub organisation: CompactString,
     /// Id of the target that the request is meant for.
@@ -74,6 +76,8 @@
     pub key: Option<CompactString>,
     /// Id of the last event that the caller received.
     pub last_event: Option<CompactString>,
+    /// Id of the request that brought the first event of the stream that the caller resumes.
+    pub resumes: Option<CompactString>,
 }
 
 impl RequestMeta {
@@ -98,6 +102,7 @@
             parts: text(&names.prompt_parts).map(parse_prompt_parts).unwrap_or_default(),
             key: key.map(|(_, k)| k.trim().into()),
             last_event: text(&names.last_event_id).map(CompactString::from),
+            resumes: text(&names.resumes).map(CompactString::from),
         }
     }
 
--- a/src/gateway/send.rs
+++ b/src/gateway/send.rs
@@ -10,7 +10,7 @@
 use super::backend::{Backend, InFlight, PlacementPlan};
 use super::cold::AdmissionLimit;
 use super::connect::{ConnectError, connect};
-use super::forward::Job;
+use super::forward::{Job, OrDash};
 use super::notice::{Notice, RetryAfter};
 use super::outcome::SendOutcome;
 use super::pool::TargetConn;
@@ -311,9 +311,10 @@
                 self.gw.log.routine(
                     "placed",
                     format_args!(
-                        "id={id} route={} target={} wait_ms={:.0} predicted_ms={:.0} first_ms={} uncached={} prompt={} most_output={} estimate={:?}",
+                        "id={id} route={} target={} version={} wait_ms={:.0} predicted_ms={:.0} first_ms={} uncached={} prompt={} most_output={} estimate={:?}",
                         self.route.name,
                         backend.id(),
+                        OrDash(backend.version()),
                         in_flight.plan().wait_ms,
                         in_flight.plan().predicted_ms,
                         took.as_millis(),
--- a/src/gateway/sync.rs
+++ b/src/gateway/sync.rs
@@ -7,6 +7,7 @@
 
 use super::catalog::{Catalog, Route};
 use super::feed::{Confirmation, Feed};
+use super::forward::OrDash;
 use super::state::{Gateway, Platform};
 use super::targets::Change;
 use super::zone_orders::ZoneOrder;
@@ -154,9 +155,10 @@
     match gw.platform.target(&row.at.key, value) {
         Ok(info) => {
             let line = format!(
-                "target={} service={} state={:?} zone={} cold_ms={}",
+                "target={} service={} version={} state={:?} zone={} cold_ms={}",
                 info.id,
                 info.service,
+                OrDash(info.version.as_ref()),
                 info.state,
                 info.zone,
                 info.warm_up.as_millis()
--- a/src/standin/gateway.rs
+++ b/src/standin/gateway.rs
@@ -40,6 +40,8 @@
 pub const TOKEN_COUNTS: &str = "Tokens";
 /// Name of the header with the last event received, see [`Names::last_event_id`].
 pub const LAST_EVENT: &str = "Last-Event-Id";
+/// Name of the header with the request that a stream began under, see [`HeaderNames::resumes`].
+pub const RESUMES: &str = "Resumes";
 
 pub(super) fn header_names() -> HeaderNames {
     HeaderNames {
@@ -49,6 +51,7 @@
         token_counts: TOKEN_COUNTS.into(),
         output_estimate: "Output-Estimate".into(),
         last_event_id: LAST_EVENT.into(),
+        resumes: RESUMES.into(),
         organisation: ORGANISATION.into(),
         expect_target: EXPECT_TARGET.into(),
         not_run: NOT_RUN.into(),
@@ -110,8 +113,9 @@
 /// A platform on top of the in-memory row store.
 ///
 /// Configurations are kept outside the store, and the configuration row holds an index into them. A
-/// target's row is `service address zone slots state`, optionally followed by the target's start
-/// time in Unix ms and by the remaining time for which it stays cold, in ms.
+/// target's row is `service address zone slots state version`, optionally followed by the target's
+/// start time in Unix ms and by the remaining time for which it stays cold, in ms. The version may
+/// be empty.
 #[derive(Clone)]
 pub struct LocalPlatform {
     /// Client of the store. An injected fault affects this client only.
@@ -172,7 +176,7 @@
     /// Writes the entry of a target that stays cold for the time `warm_up`.
     pub fn register_cold(&self, target: &StandinTarget, state: &str, warm_up: Duration) {
         let StandinTarget { service, addr, zone, .. } = target;
-        let mut row = format!("{service} {addr} {zone} 8 {state}");
+        let mut row = format!("{service} {addr} {zone} 8 {state} {}", target.version());
         if !warm_up.is_zero() {
             row += &format!(" 0 {}", warm_up.as_millis());
         }
@@ -243,8 +247,8 @@
     fn target(&self, id: &str, value: &[u8]) -> Result<TargetInfo> {
         let text = std::str::from_utf8(value).map_err(|_| bad_format("target row: not UTF-8"))?;
         let fields: Vec<&str> = text.split(' ').collect();
-        let [service, addr, zone, slots, state, ref optional @ ..] = fields[..] else {
-            return Err(bad_format("target row: fewer than five fields"));
+        let [service, addr, zone, slots, state, version, ref optional @ ..] = fields[..] else {
+            return Err(bad_format("target row: fewer than six fields"));
         };
         let number = |i: usize| -> Result<Option<u64>> {
             let parse = |v: &&str| v.parse().map_err(|_| bad_format("target row: invalid number"));
@@ -261,6 +265,7 @@
             state: if state == "ready" { TargetState::Ready } else { TargetState::Draining },
             warm_up: Duration::from_millis(number(1)?.unwrap_or(0)),
             started_at: number(0)?.map(StartedMs),
+            version: version.parse().ok(),
         })
     }
 }
--- a/src/standin/gateway_target.rs
+++ b/src/standin/gateway_target.rs
@@ -26,6 +26,8 @@
 pub const FATAL_BODY: &[u8] = b"fatal";
 /// Delay between an answer with `Connection: close` and the close of the connection.
 const CLOSE_DELAY: Duration = Duration::from_millis(400);
+/// Version of a target's software unless a test sets another one.
+const DEFAULT_VERSION: &str = "v1";
 /// Tokens in one event of a stream.
 pub const TOKENS_PER_EVENT: u64 = 2;
 
@@ -118,6 +120,7 @@
     crashed: watch::Sender<bool>,
     announces_leaving: bool,
     reject_all: Option<&'static str>,
+    version: CompactString,
     arrivals: Vec<Arrival>,
 }
 
@@ -174,6 +177,7 @@
             names: Rc::new(names),
             shared: Rc::default(),
         };
+        target.set_version(DEFAULT_VERSION);
         let server = target.clone();
         spawn_local(async move {
             let accept = async {
@@ -186,6 +190,16 @@
         Ok(target)
     }
 
+    /// Sets the version of the target's software, which each event of a stream states.
+    pub fn set_version(&self, version: &str) {
+        self.shared.borrow_mut().version = version.into();
+    }
+
+    /// The version of the target's software.
+    pub fn version(&self) -> CompactString {
+        self.shared.borrow().version.clone()
+    }
+
     /// Queues faults. Each of the next requests meets one of them.
     pub fn fail(&self, faults: &[TargetFault]) {
         self.shared.borrow_mut().faults.extend(faults);
@@ -381,9 +395,9 @@
         if !write(conn, start.as_bytes()).await {
             return false;
         }
-        let gap = self.shared.borrow().event_gap;
+        let (gap, version) = (self.shared.borrow().event_gap, self.version());
         for n in from + 1..=output / TOKENS_PER_EVENT {
-            let event = format!("id: {n}\ndata: token {n}\n\n");
+            let event = format!("id: {n}\ndata: token {n} of {version}\n\n");
             if fault == Some(TargetFault::CutsStream(n - 1)) {
                 write(conn, format!("{:x}\r\n{}", event.len(), &event[..6]).as_bytes()).await;
                 return false;
--- a/tests/test_gateway_targets.rs
+++ b/tests/test_gateway_targets.rs
@@ -28,6 +28,7 @@
         state,
         warm_up: Duration::ZERO,
         started_at: started_at.map(StartedMs),
+        version: "v1".parse().ok(),
     }
 }
 
