--- /dev/null
+++ b/tests/test_gateway_versions.rs
@@ -0,0 +1,305 @@
+//! Tests of streams that resume while targets of several software versions serve.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use kingcupwall::http1::Conn;
+use kingcupwall::standin::gateway::{LocalPlatform, catalog_parts};
+use kingcupwall::standin::gateway_host::GatewayHost;
+use kingcupwall::standin::gateway_target::{StandinTarget, TargetFault};
+use rstest::rstest;
+
+use crate::gateway_fleet::{Call, CallResult, eventually, run_local};
+
+/// Number of output tokens of a stream; it has half as many events.
+const OUTPUT: u64 = 40;
+const ALL_EVENTS: u64 = OUTPUT / 2;
+/// Event after which a stream breaks off.
+const BREAK_AFTER: u64 = 4;
+/// Pause between two events of streams whose router is killed.
+const EVENT_GAP: Duration = Duration::from_millis(20);
+/// Streams that are interrupted together.
+const STREAMS: usize = 16;
+
+struct Fleet {
+    platform: LocalPlatform,
+    targets: Vec<StandinTarget>,
+    routers: Vec<GatewayHost>,
+}
+
+impl Fleet {
+    /// Starts one target for each of `versions`, and `routers` routers that know each other.
+    async fn start(versions: &[&str], routers: usize) -> Fleet {
+        let platform = LocalPlatform::new();
+        platform.configure(catalog_parts(1, 1_000_000));
+        let mut fleet = Fleet { platform, targets: Vec::new(), routers: Vec::new() };
+        for version in versions {
+            fleet.add_target(version).await;
+        }
+        for _ in 0..routers {
+            fleet.add_router().await;
+        }
+        eventually("all routers know each other", || fleet.are_acquainted()).await;
+        for n in 0..40 {
+            for router in &fleet.routers {
+                let warm = Call::get("/safe/warm").id(&format!("warm{n}")).send(router.front).await;
+                assert_eq!(warm.status(), 200);
+            }
+        }
+        fleet
+    }
+
+    async fn add_target(&mut self, version: &str) {
+        let id = format!("t{}", self.targets.len() + 1);
+        let target = StandinTarget::start(&id, "model", "zone-1").await.unwrap();
+        target.set_version(version);
+        self.platform.register(&target, "ready");
+        self.targets.push(target);
+    }
+
+    async fn add_router(&mut self) {
+        let instance = format!("r{}", self.routers.len() + 1);
+        let router = GatewayHost::start(&self.platform, &instance, "zone-1", 1).await.unwrap();
+        self.routers.push(router);
+    }
+
+    fn are_acquainted(&self) -> bool {
+        let n = self.routers.len();
+        self.routers.iter().all(|r| {
+            r.gw.entry.borrow().routers.len() == n && r.gw.targets.count().1 == self.targets.len()
+        })
+    }
+
+    fn front(&self, router: usize) -> SocketAddr {
+        self.routers[router].front
+    }
+
+    /// Begins streams at the first router, and drops each connection after some events.
+    async fn interrupted_streams(&self) -> Vec<Interrupted> {
+        self.targets.iter().for_each(|t| t.set_event_gap(EVENT_GAP));
+        let mut conns = Vec::new();
+        for n in 0..STREAMS {
+            let mut conn = Conn::dial(self.front(0), Duration::from_secs(5)).await.unwrap();
+            let id = format!("s{n}");
+            conn.write(&stream(&id).bytes()).await.unwrap();
+            conns.push((id, conn));
+        }
+        let mut interrupted = Vec::new();
+        for (id, mut conn) in conns {
+            let mut body = String::new();
+            let mut framing = conn.read_response(64 * 1024).await.unwrap().body;
+            while versions_of(&body).len() < BREAK_AFTER as usize {
+                let piece = conn.read_piece(&mut framing).await.unwrap().unwrap();
+                body += std::str::from_utf8(&piece).unwrap();
+            }
+            interrupted.push(Interrupted { id, body });
+        }
+        interrupted
+    }
+
+    /// Resumes the streams at a router. Returns how many went on to their end.
+    async fn resume_all(&self, streams: &[Interrupted], router: usize) -> usize {
+        let mut complete = 0;
+        for s in streams {
+            let got = s.resume().send(self.front(router)).await;
+            if got.status() == 200 {
+                let versions = versions_of(&(s.body.clone() + &got.body));
+                assert!(is_one_version(&versions), "{} has events of {versions:?}", s.id);
+                complete += usize::from(got.is_complete);
+            }
+        }
+        complete
+    }
+}
+
+/// A stream whose connection the caller lost.
+struct Interrupted {
+    id: String,
+    body: String,
+}
+
+impl Interrupted {
+    fn resume(&self) -> Call {
+        let last = versions_of(&self.body).len();
+        stream(&format!("{}-again", self.id))
+            .with_header(&format!("Last-Event-Id: {last}"))
+            .with_header(&format!("Resumes: {}", self.id))
+    }
+}
+
+fn stream(id: &str) -> Call {
+    Call::get("/resumable/a").id(id).tokens(10, OUTPUT)
+}
+
+/// The version that each event states.
+fn versions_of(body: &str) -> Vec<String> {
+    let events = body.split_inclusive("\n\n").filter(|e| e.ends_with("\n\n"));
+    let version = |e: &str| Some(e.trim_end().rsplit_once(" of ")?.1.to_owned());
+    events.filter_map(version).collect()
+}
+
+fn is_one_version(versions: &[String]) -> bool {
+    versions.windows(2).all(|w| w[0] == w[1])
+}
+
+#[test]
+fn broken_stream_continues_at_its_version() {
+    // Guards against an answer that one software version begins and another one continues.
+    run_local(async {
+        let fleet = Fleet::start(&["v1", "v2", "v1", "v2"], 1).await;
+        let mut resumed = 0;
+        for n in 0..20 {
+            let runs = |f: &Fleet| f.targets.iter().map(|t| t.runs().len()).sum::<usize>();
+            let before = runs(&fleet);
+            let cut = &fleet.targets[n % 4];
+            cut.fail(&[TargetFault::CutsStream(BREAK_AFTER)]);
+            let got = stream(&format!("s{n}")).send(fleet.front(0)).await;
+            assert!(is_one_version(&versions_of(&got.body)), "{}", got.body);
+            assert!(got.is_complete);
+            assert_eq!(got.events(), (1..=ALL_EVENTS).collect::<Vec<_>>());
+            resumed += usize::from(runs(&fleet) > before + 1);
+        }
+        assert!(resumed > 0);
+    });
+}
+
+#[test]
+fn broken_stream_without_its_version_ends_incomplete() {
+    // Guards against an answer that looks complete, or goes on elsewhere, when the last target of
+    // its version ends.
+    run_local(async {
+        let fleet = Fleet::start(&["v1", "v2", "v2"], 1).await;
+        let mut broken = 0;
+        for n in 0..30 {
+            fleet.targets[0].fail(&[TargetFault::CutsStream(BREAK_AFTER)]);
+            let got = stream(&format!("s{n}")).send(fleet.front(0)).await;
+            assert!(is_one_version(&versions_of(&got.body)), "{}", got.body);
+            if !got.is_complete {
+                assert_eq!(got.events(), (1..=BREAK_AFTER).collect::<Vec<_>>());
+                broken += 1;
+            }
+        }
+        assert!(broken > 0);
+    });
+}
+
+#[rstest]
+#[case::router_alive(2, 0)]
+#[case::router_killed(2, 1)]
+#[case::half_of_the_routers_killed(6, 3)]
+#[case::all_but_one_killed(6, 5)]
+fn interrupted_streams_continue_at_another_router(#[case] routers: usize, #[case] killed: usize) {
+    // Guards against streams that callers resume at another router, after theirs has ended, and
+    // that another software version continues, or that nobody continues.
+    run_local(async {
+        let mut fleet = Fleet::start(&["v1", "v2", "v1", "v2"], routers).await;
+        let streams = fleet.interrupted_streams().await;
+        for router in fleet.routers.drain(..killed) {
+            router.kill();
+        }
+        let last = fleet.routers.len() - 1;
+        let complete = fleet.resume_all(&streams, last).await;
+        assert!(2 * complete >= STREAMS, "{complete} of {STREAMS} went on");
+    });
+}
+
+#[test]
+fn interrupted_streams_continue_at_a_new_router() {
+    // Guards against a router that continues streams that began before its start at any version.
+    run_local(async {
+        let mut fleet = Fleet::start(&["v1", "v2", "v1", "v2"], 2).await;
+        let streams = fleet.interrupted_streams().await;
+        fleet.add_router().await;
+        eventually("the routers know the new one", || fleet.are_acquainted()).await;
+        fleet.routers.remove(0).kill();
+        let complete = fleet.resume_all(&streams, 1).await;
+        assert!(2 * complete >= STREAMS, "{complete} of {STREAMS} went on");
+    });
+}
+
+async fn refused(call: Call, fleet: &Fleet) -> CallResult {
+    let runs = |f: &Fleet| f.targets.iter().map(|t| t.runs().len()).sum::<usize>();
+    let before = runs(fleet);
+    let got = call.send(fleet.front(0)).await;
+    assert_eq!((got.status(), got.header("Seal"), got.header("Retry-After")), (503, None, None));
+    assert_eq!(runs(fleet), before);
+    got
+}
+
+#[test]
+fn stream_of_unknown_origin_is_not_continued() {
+    // Guards against a guess: no router knows at which version the stream began.
+    run_local(async {
+        let fleet = Fleet::start(&["v1", "v2"], 1).await;
+        let last = "Last-Event-Id: 4";
+        refused(stream("a").with_header(last).with_header("Resumes: gone"), &fleet).await;
+        refused(stream("b").with_header(last).with_header("Resumes: b"), &fleet).await;
+        refused(stream("c").with_header(last).with_header("Resumes: "), &fleet).await;
+        refused(stream("d").with_header(last), &fleet).await;
+        let long = format!("Resumes: {}", "x".repeat(10_000));
+        refused(stream("e").with_header(last).with_header(&long), &fleet).await;
+    });
+}
+
+#[test]
+fn stream_is_not_continued_for_another_organisation() {
+    // Guards against a customer that learns or continues what another one began.
+    run_local(async {
+        let mut fleet = Fleet::start(&["v1", "v2"], 1).await;
+        let mut parts = catalog_parts(2, 1_000_000);
+        let organisations = parts.organisations.as_mut().unwrap();
+        let mut other = organisations[0].clone();
+        other.name = "sur".into();
+        other.keys = vec!["key-sur".into()];
+        organisations.push(other);
+        fleet.platform.configure(parts);
+        let in_force = || fleet.routers[0].gw.config().is_some_and(|c| c.version == 2);
+        eventually("the new configuration is in force", in_force).await;
+        let streams = fleet.interrupted_streams().await;
+        refused(streams[0].resume().key("key-sur"), &fleet).await;
+        let complete = fleet.resume_all(&streams, 0).await;
+        assert_eq!(complete, STREAMS);
+        fleet.routers.remove(0).kill();
+    });
+}
+
+#[test]
+fn stream_of_a_version_that_left_is_not_continued() {
+    // Guards against an old stream that goes on at the version that replaced its own.
+    run_local(async {
+        let fleet = Fleet::start(&["v1", "v1"], 1).await;
+        let streams = fleet.interrupted_streams().await;
+        let gw = &fleet.routers[0].gw;
+        for target in &fleet.targets {
+            fleet.platform.register(target, "draining");
+        }
+        let mut later = Vec::new();
+        for n in 0..2 {
+            let target = StandinTarget::start(&format!("n{n}"), "model", "zone-1").await.unwrap();
+            target.set_version("v2");
+            fleet.platform.register(&target, "ready");
+            later.push(target);
+        }
+        eventually("the targets are replaced", || gw.targets.count() == (4, 2)).await;
+        refused(streams[0].resume(), &fleet).await;
+        assert!(later.iter().all(|t| t.runs().is_empty()));
+    });
+}
+
+#[test]
+fn stream_of_an_unknown_version_is_not_continued() {
+    // Guards against two unknown versions that are taken for the same one.
+    run_local(async {
+        let fleet = Fleet::start(&["", "", ""], 1).await;
+        let streams = fleet.interrupted_streams().await;
+        refused(streams[0].resume(), &fleet).await;
+        let mut broken = 0;
+        for n in 0..10 {
+            fleet.targets[0].fail(&[TargetFault::CutsStream(BREAK_AFTER)]);
+            let got = stream(&format!("q{n}")).send(fleet.front(0)).await;
+            broken += usize::from(!got.is_complete);
+            assert!(got.is_complete || got.events().len() == BREAK_AFTER as usize);
+        }
+        assert!(broken > 0);
+    });
+}
--- a/tests/tests.rs
+++ b/tests/tests.rs
@@ -30,6 +30,7 @@
 mod test_gateway_quarantine;
 mod test_gateway_targets;
 mod test_gateway_timing;
+mod test_gateway_versions;
 mod test_http1;
 mod test_link;
 mod test_oplog;
