Streams continue only at the software version that began them

What callers saw: streams that hold events of two software versions, in one answer and over several attempts. Cause: the version in a target's entry was dropped when it was decoded. A router that resumed a stream chose among all targets of the service, and a stream that a caller resumed was placed like a new one; no router knew what another one had begun. Class: a fact that a peer states about itself is lost at the boundary, and what holds over a caller's attempts is known to one router only.

A stream now belongs to the version of the run whose first event was forwarded. In the same answer it continues at that version or ends incomplete. The router tells five others, chosen by the request's id, which version began it, and a router at which a caller resumes asks for it. What nobody knows, or two runs contradict, is refused with 503 without a delay; so is a stream without a target of its version. An unknown version equals none. The key binds the request to its organisation, host and path.

--- a/src/gateway/backend.rs
+++ b/src/gateway/backend.rs
@@ -14,6 +14,7 @@
 use super::liveness::Liveness;
 use super::load::Load;
 use super::notice::Availability;
+use super::origins::VersionDigest;
 use super::pool::Pool;
 use super::quarantine::Incarnation;
 use super::request::PromptPart;
@@ -115,6 +116,8 @@
     pub(super) load: RefCell<Load>,
     /// Latency estimate for the engines of the target's service.
     pub(super) timing: Rc<RefCell<FirstTokenModel>>,
+    /// Version of the target's software, as its entry stated it when the target became known.
+    version: Option<VersionDigest>,
     /// Digest of the target's id; see [`target_digest`].
     pub(super) id_digest: u64,
     /// Set if the entry is missing in the store. The store may have lost it while the target still
@@ -146,8 +149,10 @@
         self_reported: Availability,
         timing: Rc<RefCell<FirstTokenModel>>,
     ) -> Backend {
+        let version = info.version.as_ref();
         let backend = Backend {
             id_digest: target_digest(&info.id),
+            version: version.map(|v| VersionDigest::of(&info.service, &v.0)),
             info: RefCell::new(info),
             pool: RefCell::default(),
             process_state: Liveness::default(),
@@ -187,11 +192,16 @@
         self.info.borrow().id.clone()
     }
 
-    /// Version of the target's software; `None` if it is not known.
-    pub fn version(&self) -> Option<SoftwareVersion> {
+    /// Version of the target's software, for logs; `None` if it is not known.
+    pub fn version_name(&self) -> Option<SoftwareVersion> {
         self.info.borrow().version.clone()
     }
 
+    /// Version of the target's software; `None` if it is not known.
+    pub fn version(&self) -> Option<VersionDigest> {
+        self.version
+    }
+
     /// The target's address.
     pub fn addr(&self) -> SocketAddr {
         self.info.borrow().addr
--- a/src/gateway/datagram.rs
+++ b/src/gateway/datagram.rs
@@ -16,6 +16,8 @@
     Orders = 4,
     /// Admission of requests to cold targets.
     Cold = 5,
+    /// Software versions that began resumable streams.
+    Origins = 6,
 }
 
 impl Topic {
@@ -30,7 +32,14 @@
     /// Splits a datagram into topic and payload. `None` if it is empty or its topic is unknown.
     pub fn parse(datagram: &[u8]) -> Option<(Topic, &[u8])> {
         let (first, payload) = datagram.split_first()?;
-        let topics = [Topic::Hints, Topic::Budgets, Topic::Crashes, Topic::Orders, Topic::Cold];
+        let topics = [
+            Topic::Hints,
+            Topic::Budgets,
+            Topic::Crashes,
+            Topic::Orders,
+            Topic::Cold,
+            Topic::Origins,
+        ];
         let topic = topics.into_iter().find(|t| *t as u8 == *first)?;
         Some((topic, payload))
     }
--- a/src/gateway/front.rs
+++ b/src/gateway/front.rs
@@ -216,7 +216,6 @@
         }
     };
     let _counted = CountGuard::request(gw, body.len() as u64);
-    log_resumption(gw, &meta);
     let id = meta.id.clone();
     let admitted = tokio::select! {
         biased;
@@ -260,14 +259,6 @@
     }
 }
 
-/// Logs which stream a request resumes, and from which event on.
-fn log_resumption<P: Platform>(gw: &Gateway<P>, meta: &RequestMeta) {
-    if meta.last_event.is_some() || meta.resumes.is_some() {
-        let (last, resumes) = (OrDash(meta.last_event.as_ref()), OrDash(meta.resumes.as_ref()));
-        gw.log.note("resume", format_args!("id={} resumes={resumes} last={last}", meta.id));
-    }
-}
-
 /// Logs that a caller disconnected before its answer began.
 fn log_caller_left<P: Platform>(gw: &Gateway<P>, id: &str, started: Instant, sent: bool) {
     gw.stats.caller_disconnects.inc();
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -52,6 +52,7 @@
             Some((Topic::Cold, payload)) => {
                 gw.cold.handle_datagram(from, payload, |digest| cold_target(&gw, digest))
             }
+            Some((Topic::Origins, payload)) => gw.origins.handle_datagram(from, payload),
             None => gw.log.note("peer", format_args!("from={from} bytes={n} error=unknown_topic")),
         }
     }
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -148,6 +148,7 @@
     append_framed(&mut out, framing, &first_bytes);
     if let Some(events) = remaining.as_ref().and_then(|r| r.stream.as_ref()).map(|s| s.events) {
         job.charge(events);
+        job.record_origin(in_flight.backend());
     }
     if let Err(ended) = write_to_caller(caller, &out).await {
         return (ended, false);
@@ -230,7 +231,7 @@
     }
 
     /// Handles a target that failed during its answer. A resumable stream continues at another
-    /// target after the last complete event that the caller received. Any other answer ends here,
+    /// target of the same software version after the last complete event that the caller received. Any other answer ends here,
     /// and the connection is closed so that the answer cannot pass as complete.
     async fn resume_at_other_target<P: Platform>(
         &mut self,
@@ -243,13 +244,14 @@
         let may_resume = job.route.kind == RouteKind::ResumableStream
             && last.is_some()
             && job.send_counts.runs < job.route.max_attempts
+            && job.can_continue()
             && job.gw.retries.borrow_mut().take(&job.service);
         let (id, from) = (job.meta.id.clone(), self.in_flight.backend().id());
         job.gw.log.note(
             "stream_broken",
             format_args!(
                 "id={id} target={from} version={} events={events} last={last:?} resumes={may_resume}",
-                OrDash(self.in_flight.backend().version())
+                OrDash(self.in_flight.backend().version_name())
             ),
         );
         let found = job.spawn_crash_check(self.in_flight.backend());
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -19,6 +19,9 @@
     "upgrade",
 ];
 
+/// Maximum length of the id of a resumed request, in bytes.
+const MAX_ID_BYTES: usize = 256;
+
 /// The platform's names of the headers that the gateway reads and sets.
 #[derive(Clone, Debug)]
 pub struct HeaderNames {
@@ -74,9 +77,10 @@
     pub parts: Vec<PromptPart>,
     /// The API key.
     pub key: Option<CompactString>,
-    /// Id of the last event that the caller received.
+    /// Id of the last event that the caller received; `None` if it received none.
     pub last_event: Option<CompactString>,
-    /// Id of the request that brought the first event of the stream that the caller resumes.
+    /// Id of the request that brought the first event of the stream that the caller resumes; `None`
+    /// if it is not stated, stated more than once, or cannot be an id.
     pub resumes: Option<CompactString>,
 }
 
@@ -101,8 +105,10 @@
             estimate: text(&names.output_estimate).and_then(|v| v.parse().ok()),
             parts: text(&names.prompt_parts).map(parse_prompt_parts).unwrap_or_default(),
             key: key.map(|(_, k)| k.trim().into()),
-            last_event: text(&names.last_event_id).map(CompactString::from),
-            resumes: text(&names.resumes).map(CompactString::from),
+            last_event: text(&names.last_event_id)
+                .filter(|v| !v.is_empty())
+                .map(CompactString::from),
+            resumes: resumed_request(names, headers),
         }
     }
 
@@ -112,6 +118,16 @@
     }
 }
 
+/// The request that a resumed stream began under; `None` if it is not stated, or not clearly.
+fn resumed_request(names: &HeaderNames, headers: &[Header]) -> Option<CompactString> {
+    let mut stated = headers.iter().filter(|h| h.is(&names.resumes));
+    let (first, None) = (stated.next()?, stated.next()) else { return None };
+    let id = std::str::from_utf8(&first.value).ok()?.trim();
+    let is_valid =
+        (1..=MAX_ID_BYTES).contains(&id.len()) && id.bytes().all(|b| b.is_ascii_graphic());
+    is_valid.then(|| id.into())
+}
+
 fn parse_prompt_parts(list: &str) -> Vec<PromptPart> {
     let parse_part = |entry: &str| {
         let (id, tokens) = entry.trim().split_once(':')?;
--- a/src/gateway/send.rs
+++ b/src/gateway/send.rs
@@ -314,7 +314,7 @@
                         "id={id} route={} target={} version={} wait_ms={:.0} predicted_ms={:.0} first_ms={} uncached={} prompt={} most_output={} estimate={:?}",
                         self.route.name,
                         backend.id(),
-                        OrDash(backend.version()),
+                        OrDash(backend.version_name()),
                         in_flight.plan().wait_ms,
                         in_flight.plan().predicted_ms,
                         took.as_millis(),
--- a/src/gateway/start.rs
+++ b/src/gateway/start.rs
@@ -20,6 +20,8 @@
     gw.cold.set_socket(socket.clone());
     let (zones, zones_socket) = (gw.clone(), socket.clone());
     let (hints, hints_socket) = (gw.clone(), socket.clone());
+    gw.origins.set_socket(socket.clone());
+    let origins = gw.clone();
     let (crashes, crashes_socket) = (gw.clone(), socket.clone());
     vec![
         spawn_local(sync::follow_config(gw.clone())),
@@ -31,6 +33,7 @@
         spawn_local(async move { hints.hints.run_sender(&hints_socket).await }),
         spawn_local(async move { crashes.crashes.broadcast(&crashes_socket).await }),
         spawn_local(async move { zones.zones.run_sender(&zones_socket).await }),
+        spawn_local(async move { origins.origins.run_sender().await }),
         spawn_local(peers::send_budget_messages(gw.clone(), socket.clone())),
         spawn_local(peers::receive_datagrams(gw.clone(), socket)),
         spawn_local(connect::watch_path(gw.clone())),
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -18,6 +18,7 @@
 use super::path::TargetPath;
 use super::place::PlacementWeights;
 use super::request::HeaderNames;
+use super::resumption::StreamOrigins;
 use super::retries::{RetryAllowance, ServiceRetryBudgets};
 use super::targets::Targets;
 use super::warmup::Admissions;
@@ -130,6 +131,8 @@
     pub zones: ZoneGossip,
     /// Admission of requests to cold targets.
     pub cold: Admissions,
+    /// Software versions that began resumable streams.
+    pub origins: StreamOrigins,
     /// Shares of the organisations' budgets.
     pub budget_shares: Rc<BudgetManager<P>>,
     /// This router's shares of the retry budget.
@@ -172,6 +175,7 @@
             zones: ZoneGossip::new(log.clone(), stats.clone()),
             path: TargetPath::new(settings.zone.clone()),
             cold: Admissions::new(settings.instance.clone(), log.clone(), stats.clone()),
+            origins: StreamOrigins::new(log.clone(), stats.clone()),
             reader: StoreReader::new(
                 platform.clone(),
                 budget_shares.clone(),
--- a/src/gateway/targets.rs
+++ b/src/gateway/targets.rs
@@ -10,6 +10,7 @@
 
 use super::backend::{Backend, StartedMs, TargetInfo, TargetState, duration_from_ms};
 use super::notice::Availability;
+use super::origins::VersionDigest;
 use super::place::Candidate;
 use super::request::PromptPart;
 use super::timing::{FirstTokenModel, PrefillWork};
@@ -25,8 +26,8 @@
     New,
     /// The target's state changed, or its entry reappeared after it had lapsed.
     State,
-    /// The target restarted under the same id, or moved to another service or address. Nothing that
-    /// was known about it applies any more.
+    /// The target restarted under the same id, or moved to another service, address or software
+    /// version. Nothing that was known about it applies any more.
     Restarted,
     /// The entry is from an earlier start of the target than the known one, and is ignored.
     Outdated,
@@ -70,6 +71,8 @@
     pub tried: &'a [CompactString],
     /// Zones that the request may use.
     pub zone_filter: ZoneFilter<'a>,
+    /// The only software version that may take the request; `None` if any may.
+    pub version: Option<VersionDigest>,
 }
 
 /// The candidates for a request.
@@ -102,8 +105,9 @@
             return Change::Outdated;
         }
         let restarted = info.started_after(known.started_at);
-        if restarted || known.service != info.service || known.addr != info.addr {
-            // Another service or address alone does not discard the notices that the target has
+        let moved = known.service != info.service || known.addr != info.addr;
+        if restarted || moved || known.version != info.version {
+            // Another service, address or version alone does not discard the notices that the target has
             // sent.
             let self_reported =
                 if restarted { Availability::default() } else { all[i].self_reported.clone() };
@@ -236,6 +240,11 @@
         self.all.borrow().iter().find(|b| b.id_digest == digest).cloned()
     }
 
+    /// A target of this software version, which may be leaving.
+    pub fn of_version(&self, version: VersionDigest) -> Option<Rc<Backend>> {
+        self.all.borrow().iter().find(|b| b.version() == Some(version)).cloned()
+    }
+
     /// All targets.
     pub fn all(&self) -> Vec<Rc<Backend>> {
         self.all.borrow().clone()
@@ -264,6 +273,10 @@
             if info.service != req.service || !b.is_expected_to_stay() {
                 return false;
             }
+            // Two versions that are not known are not the same version.
+            if req.version.is_some() && b.version() != req.version {
+                return false;
+            }
             let exclusion_reason = req.zone_filter.exclusion_reason(&info.zone);
             // `Emptied` takes precedence: an emptied zone returns to service, a region does not
             // become allowed.
--- a/src/stats.rs
+++ b/src/stats.rs
@@ -57,6 +57,10 @@
     pub cold_admissions: Family<ReasonLabel, Counter>,
     /// Notices that targets sent in response headers, by kind.
     pub target_notices: Family<ReasonLabel, Counter>,
+    /// Streams that callers resumed, by what became known of their origin.
+    pub resumptions: Family<ReasonLabel, Counter>,
+    /// Origins of streams that were dropped because there are too many.
+    pub stream_origins_dropped: Counter,
     /// Targets that have announced that they are leaving.
     pub targets_leaving: Gauge,
     /// Targets that refused a request and get no more until their backoff ends.
@@ -168,6 +172,18 @@
             "Notices that targets sent in response headers",
             target_notices.clone(),
         );
+        let resumptions = Family::default();
+        registry.register(
+            "resumptions",
+            "Streams that callers resumed, by what became known of their origin",
+            resumptions.clone(),
+        );
+        let stream_origins_dropped = Counter::default();
+        registry.register(
+            "stream_origins_dropped",
+            "Origins of streams that were dropped because there are too many",
+            stream_origins_dropped.clone(),
+        );
         let targets_leaving = Gauge::default();
         registry.register(
             "targets_leaving",
@@ -247,6 +263,8 @@
             store_read_bytes,
             cold_admissions,
             target_notices,
+            resumptions,
+            stream_origins_dropped,
             targets_leaving,
             targets_backing_off,
             targets_cold,
--- a/tests/test_gateway_targets.rs
+++ b/tests/test_gateway_targets.rs
@@ -41,6 +41,7 @@
         engine: true,
         tried: &[],
         zone_filter: ZoneFilter::ALL_ZONES,
+        version: None,
     }
 }
 
