Soak: targets of two versions, and callers that resume broken streams

Targets state alternating software versions, also when they are replaced, and callers resume a broken stream once, at any router. A stream with events of two versions, in one response or over both attempts, is a violation.

--- a/soak/src/callers.rs
+++ b/soak/src/callers.rs
@@ -95,19 +95,68 @@
     pub body: String,
     /// Whether the whole body arrived.
     pub is_complete: bool,
+    /// The stream that the request resumes.
+    pub resumes: Option<Resumed>,
+}
+
+/// The part of a stream that a caller got before it resumed the stream.
+#[derive(Clone, Debug)]
+pub struct Resumed {
+    /// Id of the request that brought the first event.
+    pub root: CompactString,
+    /// Number of events.
+    pub events: u64,
 }
 
 impl Exchange {
+    fn complete_events(&self) -> impl Iterator<Item = &str> {
+        self.body.split_inclusive("\n\n").filter(|e| e.ends_with("\n\n"))
+    }
+
     /// The ids of the complete events in the body.
     pub fn events(&self) -> Vec<u64> {
-        let complete = self.body.split_inclusive("\n\n").filter(|e| e.ends_with("\n\n"));
-        let ids = complete.filter_map(|e| e.lines().find_map(|l| l.strip_prefix("id: ")));
-        ids.filter_map(|id| id.parse().ok()).collect()
+        let id = |e: &str| e.lines().find_map(|l| l.strip_prefix("id: "))?.parse().ok();
+        self.complete_events().filter_map(id).collect()
+    }
+
+    /// The software versions that the complete events state.
+    pub fn versions(&self) -> Vec<&str> {
+        let version = |e| str::trim_end(e).rsplit_once(" of ").map(|(_, version)| version);
+        self.complete_events().filter_map(version).collect()
+    }
+
+    /// Id of the request that the stream began under.
+    pub fn root(&self) -> &CompactString {
+        self.resumes.as_ref().map_or(&self.id, |r| &r.root)
+    }
+
+    /// Number of events that came before those of this response.
+    pub fn events_before(&self) -> u64 {
+        self.resumes.as_ref().map_or(0, |r| r.events)
     }
 
     /// Number of events in a complete response.
     pub fn expected_events(&self) -> u64 {
-        self.tokens.1 / TOKENS_PER_EVENT
+        self.tokens.1 / TOKENS_PER_EVENT - self.events_before()
+    }
+
+    fn without_response(self) -> Exchange {
+        Exchange {
+            leaving_at: None,
+            status: None,
+            seal: None,
+            body: String::new(),
+            is_complete: false,
+            ..self
+        }
+    }
+
+    /// What a caller resumes after this response broke off; `None` if it cannot resume it.
+    fn resumable_part(&self) -> Option<Resumed> {
+        let events = self.events().len() as u64;
+        let is_cut = self.request_kind == RequestKind::ResumableStream && !self.is_complete;
+        let may_resume = is_cut && events > 0 && self.resumes.is_none();
+        may_resume.then(|| Resumed { root: self.id.clone(), events })
     }
 }
 
@@ -128,6 +177,8 @@
     let mut rng = Rng::with_seed(seed);
     let mut open: Option<(SocketAddr, Conn)> = None;
     let mut sent = 0_u32;
+    // A broken stream is resumed once, at any router.
+    let mut broken: Option<(Exchange, Resumed)> = None;
     while !callers.stop_requested.get() {
         if open.is_none() {
             open = connect(&callers, &mut rng, number).await;
@@ -138,7 +189,18 @@
         };
         sent += 1;
         let id = format_compact!("c{number}n{sent}");
-        let (exchange, keep_alive) = send_request(&callers, router, &mut conn, &mut rng, id).await;
+        let request = match broken.take() {
+            Some((before, resumed)) => Exchange {
+                id,
+                router,
+                resumes: Some(resumed),
+                sent_at: Instant::now(),
+                ..before.without_response()
+            },
+            None => random_request(&callers, router, &mut rng, id),
+        };
+        let (exchange, keep_alive) = send_request(&callers, &mut conn, request).await;
+        broken = exchange.resumable_part().map(|part| (exchange.clone(), part));
         callers.exchange_log.borrow_mut().push(exchange);
         // A connection is reused until the router closes it.
         open = keep_alive.then_some((router, conn));
@@ -180,18 +242,17 @@
     Some(addresses.iter().filter_map(|a| a.as_str()?.parse().ok()).collect())
 }
 
-async fn send_request(
+fn random_request(
     callers: &Callers,
     router: SocketAddr,
-    conn: &mut Conn,
     rng: &mut Rng,
     id: CompactString,
-) -> (Exchange, bool) {
+) -> Exchange {
     let request_kind = rng.choice(RequestKind::ALL).expect("there is at least one kind of request");
     let org = rng.usize(..callers.keys.len());
     let tokens =
         if request_kind.is_stream() { (rng.u64(20..200), 2 * rng.u64(2..30)) } else { (0, 0) };
-    let mut exchange = Exchange {
+    Exchange {
         id,
         request_kind,
         org,
@@ -203,11 +264,25 @@
         seal: None,
         body: String::new(),
         is_complete: false,
-    };
+        resumes: None,
+    }
+}
+
+async fn send_request(
+    callers: &Callers,
+    conn: &mut Conn,
+    mut exchange: Exchange,
+) -> (Exchange, bool) {
     let names = names::headers();
-    let (prefix, id, key) = (request_kind.prefix(), &exchange.id, &callers.keys[org]);
+    let (prefix, id) = (exchange.request_kind.prefix(), &exchange.id);
+    let (tokens, key) = (exchange.tokens, &callers.keys[exchange.org]);
+    let resumes = exchange.resumes.as_ref().map(|r| {
+        let (last, resumes) = (&names.last_event_id, &names.resumes);
+        format!("{last}: {}\r\n{resumes}: {}\r\n", r.events, r.root)
+    });
+    let (root, resumes) = (exchange.root(), resumes.unwrap_or_default());
     let bytes = format!(
-        "GET {prefix}{id} HTTP/1.1\r\nHost: {HOST}\r\n{}: {id}\r\n{}: {}\r\nAuthorization: Bearer {key}\r\n{}: {},{}\r\n\r\n",
+        "GET {prefix}{root} HTTP/1.1\r\nHost: {HOST}\r\n{}: {id}\r\n{}: {}\r\nAuthorization: Bearer {key}\r\n{resumes}{}: {},{}\r\n\r\n",
         names.request_id,
         names.time_left,
         REQUEST_TIMEOUT.as_millis(),
--- a/soak/src/checks.rs
+++ b/soak/src/checks.rs
@@ -16,6 +16,7 @@
     let mut run_counts: HashMap<&CompactString, u64> = HashMap::new();
     runs.iter().for_each(|r| *run_counts.entry(&r.id).or_default() += 1);
     let mut violations: Vec<String> = exchanges.iter().filter_map(check_response).collect();
+    violations.extend(check_versions(exchanges));
     for e in exchanges.iter().filter(|e| !e.request_kind.is_repeatable()) {
         let n = run_counts.get(&e.id).copied().unwrap_or(0);
         if n > 1 {
@@ -35,6 +36,17 @@
     violations
 }
 
+/// Returns one line for each stream with events of several software versions, in one response or
+/// over the attempts of its caller.
+fn check_versions(exchanges: &[Exchange]) -> Vec<String> {
+    let mut streams: HashMap<&CompactString, Vec<&str>> = HashMap::new();
+    for e in exchanges.iter().filter(|e| e.request_kind.is_stream()) {
+        streams.entry(e.root()).or_default().extend(e.versions());
+    }
+    streams.retain(|_, versions| versions.windows(2).any(|v| v[0] != v[1]));
+    streams.iter().map(|(root, versions)| format!("{root}: events of {versions:?}")).collect()
+}
+
 /// Returns the violation in one response, if any.
 fn check_response(e: &Exchange) -> Option<String> {
     // These callers send each request once, so their requests cannot be the ones that crash targets
@@ -56,7 +68,8 @@
             .then(|| format!("{}: body {:?}", e.id, e.body));
     }
     let events = e.events();
-    let in_order = events.iter().copied().eq(1..=events.len() as u64);
+    let before = e.events_before();
+    let in_order = events.iter().copied().eq(before + 1..=before + events.len() as u64);
     if !in_order {
         return Some(format!("{}: events {events:?}", e.id));
     }
--- a/soak/src/testbed.rs
+++ b/soak/src/testbed.rs
@@ -31,6 +31,8 @@
 pub(crate) const PREPAID_TOKENS: [u64; 3] = [40_000, 400_000, 40_000_000];
 /// Pause between two events of a stream.
 const EVENT_GAP: Duration = Duration::from_millis(4);
+/// Software versions of the targets.
+const VERSIONS: [&str; 2] = ["v1", "v2"];
 /// How long routers may take from their start until they serve.
 pub(crate) const START_TIMEOUT: Duration = Duration::from_secs(20);
 /// Bandwidth from the store to every second router, in bytes a second.
@@ -215,6 +217,9 @@
         let headers = TargetNames { headers: names::headers(), seal: SEAL_HEADER.into() };
         let target = StandinTarget::start_named(&id, "model", &zone, headers).await?;
         target.set_event_gap(EVENT_GAP);
+        // A replacement may have another version than its predecessor, and both versions serve.
+        let is_odd = !(n as u64 + self.replacements.get()).is_multiple_of(2);
+        target.set_version(VERSIONS[usize::from(is_odd)]);
         let link = Proxy::start(&format!("{}.252", self.ip), target.addr, None).await?;
         for links in &self.target_links {
             let router_link = Proxy::start(&format!("{}.253", self.ip), link.addr, None).await?;
@@ -227,7 +232,7 @@
         }
         let warm_up_ms = if is_cold { zones::WARM_UP_S * 1_000.0 } else { 0.0 };
         let row = json!({"service": "model", "address": link.addr, "zone": zone, "slots": 64,
-            "version": "v1", "state": "ready", "warmup_left_ms": warm_up_ms, "sequence": 1});
+            "version": target.version(), "state": "ready", "warmup_left_ms": warm_up_ms, "sequence": 1});
         self.store.put(names::TARGETS_TABLE, &id, row.to_string().as_bytes());
         spawn_local(self.clone().restart_after_end(n, target.clone(), link.clone()));
         let mut targets = self.targets.borrow_mut();
--- a/soak/tests/tests.rs
+++ b/soak/tests/tests.rs
@@ -6,7 +6,7 @@
 
 use kingcupwall::http1::Header;
 use kingcupwall::standin::gateway_target::{Arrival, ReceivedRequest as TargetRun};
-use kingcupwall_soak::callers::{Exchange, RequestKind};
+use kingcupwall_soak::callers::{Exchange, RequestKind, Resumed};
 use kingcupwall_soak::checks::check;
 use kingcupwall_soak::cuts::{self, ALLOWED_FAILURES, Cut};
 use kingcupwall_soak::faults::{FleetSize, random_fault};
@@ -31,6 +31,7 @@
         seal: Some("t1.a".into()),
         body: body.into(),
         is_complete: true,
+        resumes: None,
     }
 }
 
@@ -46,7 +47,32 @@
 }
 
 fn event(n: u64) -> String {
-    format!("id: {n}\ndata: token {n}\n\n")
+    event_of(n, "v1")
+}
+
+fn event_of(n: u64, version: &str) -> String {
+    format!("id: {n}\ndata: token {n} of {version}\n\n")
+}
+
+// A stream that another software version continued, in one response or in a second attempt.
+#[test]
+fn check_reports_streams_of_several_versions() {
+    let one = exchange(RequestKind::ResumableStream, 200, &(event(1) + &event_of(2, "v2")));
+    assert_eq!(check(&[Exchange { is_complete: false, ..one }], &[], &[1_000]).len(), 1);
+    let first = exchange(RequestKind::ResumableStream, 200, &event(1));
+    let first = Exchange { is_complete: false, ..first };
+    let resumed = |version| Exchange {
+        id: "b".into(),
+        seal: Some("t1.b".into()),
+        resumes: Some(Resumed { root: "a".into(), events: 1 }),
+        ..exchange(
+            RequestKind::ResumableStream,
+            200,
+            &(event_of(2, version) + &event_of(3, version)),
+        )
+    };
+    assert_eq!(check(&[first.clone(), resumed("v1")], &[], &[1_000]), Vec::<String>::new());
+    assert_eq!(check(&[first, resumed("v2")], &[], &[1_000]).len(), 1);
 }
 
 // Guards against false alarms: valid responses, complete streams and refusals of requests that did
