Experiment: how many routers keep the origin of a stream; explain walks to the origin

experiment origins counts, with the code that the routers use, the streams whose origin a surviving router still finds, and the datagrams that it costs.

explain shows the lines of the request that began a resumed stream as well.

--- a/src/cmd/experiment.rs
+++ b/src/cmd/experiment.rs
@@ -6,10 +6,10 @@
 use serde::Serialize;
 
 use crate::error::Result;
-use crate::experiment::{budget, capacity, cold_start, overhead, quarantine};
+use crate::experiment::{budget, capacity, cold_start, origins, overhead, quarantine};
 
-/// Measure design alternatives: budget in virtual time with in-memory stand-ins, cold-start and
-/// quarantine in a simulation, the others in real time
+/// Measure design alternatives: budget in virtual time with in-memory stand-ins, cold-start,
+/// origins and quarantine in a simulation, the others in real time
 ///
 /// Example: kingcupwall experiment budget --json
 #[derive(Clone, Debug)]
@@ -30,7 +30,7 @@
     plot: Option<PathBuf>,
     /// Print one JSON object per cell
     json: bool,
-    /// Experiment: budget, capacity, cold-start, overhead or quarantine
+    /// Experiment: budget, capacity, cold-start, origins, overhead or quarantine
     #[bpaf(positional("NAME"))]
     name: Name,
 }
@@ -40,6 +40,7 @@
     Budget,
     Capacity,
     ColdStart,
+    Origins,
     Overhead,
     Quarantine,
 }
@@ -52,10 +53,11 @@
             "budget" => Ok(Name::Budget),
             "capacity" => Ok(Name::Capacity),
             "cold-start" => Ok(Name::ColdStart),
+            "origins" => Ok(Name::Origins),
             "overhead" => Ok(Name::Overhead),
             "quarantine" => Ok(Name::Quarantine),
             other => Err(format!(
-                "unknown experiment {other:?}; must be budget, capacity, cold-start, overhead or quarantine"
+                "unknown experiment {other:?}; must be budget, capacity, cold-start, origins, overhead or quarantine"
             )),
         }
     }
@@ -93,6 +95,10 @@
             });
             args.plot.as_ref().map_or(Ok(()), |file| cold_start::plot(&cells, file))
         }
+        Name::Origins => {
+            origins::run(args.seed, &args.only, |c| args.print_row(c));
+            Ok(())
+        }
         Name::Overhead => super::block_on(async {
             args.print_row(&overhead::run(args.requests).await?);
             Ok(())
--- a/src/experiment/mod.rs
+++ b/src/experiment/mod.rs
@@ -3,6 +3,7 @@
 pub mod budget;
 pub mod capacity;
 pub mod cold_start;
+pub mod origins;
 pub mod overhead;
 mod plot;
 pub mod quarantine;
--- a/src/gateway/resumption.rs
+++ b/src/gateway/resumption.rs
@@ -22,10 +22,10 @@
 
 /// Number of routers that keep the origin of a stream, beside the one that began it. All of them
 /// must end at once for it to be lost. Fleets of up to six routers tell it to every router.
-const HOLDERS: usize = 5;
+pub const HOLDERS: usize = 5;
 /// Number of routers that are asked for an origin. More than [`HOLDERS`], because the lists of two
 /// routers differ by those that have just started or ended, and by themselves.
-const ASKED_ROUTERS: usize = HOLDERS + 3;
+pub const ASKED_ROUTERS: usize = HOLDERS + 3;
 /// Time over which origins are collected into one datagram.
 const BATCH_DELAY: Duration = Duration::from_millis(20);
 /// Maximum number of origins in one datagram. At 19 bytes each, it fits into a usual packet.
--- a/tests/test_explain.rs
+++ b/tests/test_explain.rs
@@ -29,3 +29,17 @@
 fn explain_unknown() {
     assert!(explain("q2", LOG).is_empty());
 }
+
+#[test]
+fn explain_resumed_stream() {
+    // The request that began the stream explains at which version it may continue.
+    let log = "\
+t_ms=1 event=placed id=s1 route=r target=t1 version=v1
+t_ms=2 event=placed id=s2 route=r target=t2 version=v2
+t_ms=3 event=resume id=s3 resumes=s1 last=Some(\"4\") version=v1 source=Some(Asked) outcome=found
+t_ms=4 event=done id=s3 route=r target=t1";
+    let found = explain("s3", log);
+    assert_eq!(found.len(), 3);
+    assert!(found[0].contains("id=s1") && found.iter().all(|l| l.starts_with("> ")));
+    assert_eq!(explain("s1", log).len(), 1);
+}
