Tests: requests that look for a crashed target go on until one has tried it

A caller's early leaving hides a crash until another request tries the target. It is chance, not load.

--- a/tests/test_gateway_fatal.rs
+++ b/tests/test_gateway_fatal.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use kingcupwall::gateway::backend::target_digest;
 use kingcupwall::gateway::liveness::Liveness;
 use kingcupwall::gateway::quarantine::CRASHES_TO_QUARANTINE;
 use kingcupwall::http1::Conn;
@@ -17,6 +18,9 @@
 /// that.
 const MAX_ENDED_TARGETS: usize = 3 + 3;
 
+/// Number of requests after which one of them has certainly tried each target.
+const MAX_OTHER_REQUESTS: usize = 400;
+
 /// Longest time in seconds for which a request that crashes no target may be refused: the time by
 /// which the routers' reports have arrived.
 const MAX_HELD_BACK_S: f64 = 3.0;
@@ -76,6 +80,16 @@
         }
     }
 
+    /// Number of crashed targets to which the first router has not tried to connect since.
+    fn untried_ended(&self) -> usize {
+        let targets = &self.routers[0].gw.targets;
+        let is_untried = |t: &&StandinTarget| {
+            let known = targets.by_digest(target_digest(&t.id)).unwrap();
+            t.has_crashed() && !known.process_state.has_ended()
+        };
+        self.targets.iter().filter(is_untried).count()
+    }
+
     fn fatal_runs(&self) -> usize {
         let runs = self.targets.iter().flat_map(StandinTarget::runs);
         runs.filter(|r| r.body == FATAL_BODY).count()
@@ -228,11 +242,15 @@
                 break;
             }
             eventually("the end of the target", || fleet.ended() > ended).await;
-            // Other requests try to connect to the crashed target.
-            for m in 0..2 * MAX_ENDED_TARGETS {
+            // Other requests, until one of them tries to connect to the crashed target.
+            for m in 0..MAX_OTHER_REQUESTS {
+                if fleet.untried_ended() == 0 {
+                    break;
+                }
                 let other = Call::get("/safe/a").body(&format!("other {m}"));
                 assert_eq!(other.send(front).await.status(), 200);
             }
+            assert_eq!(fleet.untried_ended(), 0);
             tokio::time::sleep(Duration::from_millis(700)).await;
         }
         assert!(fleet.ended() <= MAX_ENDED_TARGETS, "{} targets ended", fleet.ended());
