Routers are ready only after a target has reported what it serves

The list of targets and their reports are read by two tasks. If the list arrived while the first round of reports, which had asked nobody, was ending, the router counted as ready without knowing what any target serves.

--- a/src/router/tasks.rs
+++ b/src/router/tasks.rs
@@ -247,7 +247,7 @@
             let node = node.clone();
             async move {
                 let report = node.engine.report(&addr).await;
-                let Ok(report) = report else { return };
+                let Ok(report) = report else { return false };
                 let known_leaving =
                     node.lock_picker().targets().iter().any(|t| t.id == id && t.leaving);
                 if report.leaving && !known_leaving {
@@ -256,11 +256,14 @@
                 }
                 let now = node.now();
                 node.lock_picker().reported(now, &id, report);
+                true
             }
         });
-        futures_util::future::join_all(polls).await;
+        let reported = futures_util::future::join_all(polls).await;
         set_capacities(&node);
-        if !node.lock_picker().targets().is_empty() {
+        // The list of targets may have arrived during this round. Only their reports say what they
+        // serve.
+        if reported.contains(&true) {
             node.set_ready();
         }
     }
--- a/tests/test_api.rs
+++ b/tests/test_api.rs
@@ -11,6 +11,7 @@
 };
 use kingcupwall::standin::platform::PlatformLimits;
 use kingcupwall::standin::target::{TargetFaults, TargetSetup};
+use kingcupwall::table::{Instance, InstanceState};
 use rstest::rstest;
 use serde_json::{Value, json};
 
@@ -156,12 +157,33 @@
     let got = post("status").body("x").send().await.unwrap();
     assert_eq!(got.status(), 200, "{}", got.text().await.unwrap());
     let filed = post("file").header(IDEMPOTENCY_KEY, "c1").body("x").send().await.unwrap();
-    assert_eq!(filed.status(), 200);
+    assert_eq!(filed.status(), 200, "{}", filed.text().await.unwrap());
     let calls = t.target.target.calls();
     assert_eq!(calls.iter().find(|(k, _)| k.as_str() == "c1").map(|(_, n)| *n), Some(1));
     t.router.kill();
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn not_ready_before_a_target_reported() {
+    // Guards against a router that refuses its first requests: it knows the list of targets, but
+    // not yet from any target what it serves.
+    let platform = PlatformHost::start(PlatformLimits::default()).await.unwrap();
+    let zone: ZoneId = name("a");
+    let closed = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap().local_addr().unwrap();
+    platform.memory.put_instance(Instance {
+        name: "t0".into(),
+        addr: closed.to_string().into(),
+        zone: zone.clone(),
+        state: InstanceState::Live,
+    });
+    let router =
+        RouterHost::start(router_settings(platform.server.addr, "r0", &zone)).await.unwrap();
+    submit_first(router.api, "[fleet]\nentry_lifetime = 1s\n").await.unwrap();
+    // The router asks the target for its report meanwhile, several times.
+    tokio::time::timeout(Duration::from_secs(2), router.ready()).await.unwrap_err();
+    router.kill();
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn stop_drains_open_stream() {
     // Guards against a graceful stop that truncates an answer or leaves a grant behind. The router
