--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -17,7 +17,7 @@
 use super::connect::{RETURN_PROBE_INTERVAL, check_path};
 use super::fingerprint::Fingerprint;
 use super::liveness::await_probe;
-use super::origins::{Known, Origin, StreamKey, VersionDigest};
+use super::origins::VersionDigest;
 use super::outcome::{self, FinalAnswer, NextStep, SendCounts, SendOutcome};
 use super::place::{Placement, PlacementGoal, place};
 use super::refusal::{
@@ -26,7 +26,6 @@
 };
 use super::reply::Reply;
 use super::request::{HeaderNames, RequestMeta, host, path};
-use super::resumption::OriginSource;
 use super::state::{Gateway, Platform};
 use super::stats::count_failed_send;
 use super::sync::confirm_config;
@@ -35,7 +34,6 @@
 use crate::allowance::{LenderSearch, Refusal, Reservation};
 use crate::http1::RequestHead;
 use crate::ids::Tokens;
-use crate::stats::ReasonLabel;
 
 /// Minimum time left before the deadline for a send to be worthwhile; less would be used up in
 /// transit.
@@ -204,82 +202,6 @@
         Ok(job)
     }
 
-    /// Finds the software version that began the stream that the caller resumes, if it resumes one.
-    ///
-    /// # Errors
-    /// The response that refuses the request. It states no delay if the stream can never continue.
-    async fn find_origin(&mut self) -> Result<(), RouterResponse> {
-        if self.route.kind != RouteKind::ResumableStream || self.meta.last_event.is_none() {
-            return Ok(());
-        }
-        let found = match self.meta.resumes.as_deref() {
-            Some(id) => {
-                let key = StreamKey::of(self.org.as_deref(), self.head, id);
-                timeout_at(self.answer_deadline, self.gw.origins.find(key)).await.ok().flatten()
-            }
-            None => None,
-        };
-        let (outcome, backend) = match found {
-            Some((Known::Version(version), ..)) => match self.gw.targets.of_version(version) {
-                Some(backend) if self.is_routed_to(&backend) => ("found", Some(backend)),
-                _ => ("no_target_of_version", None),
-            },
-            Some((Known::Contradictory(..), ..)) => ("contradictory_origin", None),
-            None => ("unknown_origin", None),
-        };
-        self.log_resumption(outcome, found.map(|(_, age, source)| (age, source)), backend.as_ref());
-        let Some(backend) = backend else { return Err(RouterResponse::new(503, outcome)) };
-        self.version = backend.version();
-        self.service = backend.info.borrow().service.clone();
-        Ok(())
-    }
-
-    /// Whether the request's route sends requests to the service of a target.
-    fn is_routed_to(&self, backend: &Backend) -> bool {
-        self.route.shares.iter().any(|s| s.service == backend.info.borrow().service)
-    }
-
-    fn log_resumption(
-        &self,
-        outcome: &'static str,
-        learnt: Option<(Duration, OriginSource)>,
-        backend: Option<&Rc<Backend>>,
-    ) {
-        self.gw.stats.resumptions.get_or_create(&ReasonLabel { reason: outcome }).inc();
-        let meta = &self.meta;
-        self.gw.log.note(
-            "resume",
-            format_args!(
-                "id={} resumes={} last={:?} version={} source={:?} age_ms={} outcome={outcome}",
-                meta.id,
-                OrDash(meta.resumes.as_ref()),
-                meta.last_event,
-                OrDash(backend.and_then(|b| b.version_name())),
-                learnt.map(|(_, source)| source),
-                OrDash(learnt.map(|(age, _)| age.as_millis())),
-            ),
-        );
-    }
-
-    /// Records which software version began the stream, when its first events are about to be
-    /// forwarded. A run whose events the caller does not get begins nothing.
-    pub(super) fn record_origin(&mut self, backend: &Backend) {
-        if self.route.kind != RouteKind::ResumableStream || self.version.is_some() {
-            return;
-        }
-        // Without a version the stream has no origin, and nothing may continue it.
-        let Some(version) = backend.version() else { return };
-        self.version = Some(version);
-        let key = StreamKey::of(self.org.as_deref(), self.head, &self.meta.id);
-        self.gw.origins.record(Origin(key, version));
-    }
-
-    /// Whether a target of the version that began the stream may continue it, perhaps after a
-    /// wait.
-    pub(super) fn can_continue(&self) -> bool {
-        self.version.is_some() && !matches!(self.choose_target(), Err(Unplaced::Refused(_)))
-    }
-
     /// Reserves the maximum cost of the request in its organisation's budget.
     async fn reserve_budget(&mut self) -> Result<(), RouterResponse> {
         let max_cost = Tokens(self.meta.max_cost());
@@ -494,6 +416,12 @@
         room_in + COLD_WAIT_PER_RANK * u32::from(rank.unwrap_or(self.route.priority))
     }
 
+    /// Whether a target of the version that began the stream may continue it, perhaps after a
+    /// wait.
+    pub(super) fn can_continue(&self) -> bool {
+        self.version.is_some() && !matches!(self.choose_target(), Err(Unplaced::Refused(_)))
+    }
+
     fn choose_target(&self) -> Result<(Rc<Backend>, PlacementPlan), Unplaced> {
         let engine = self.is_engine();
         let emptied = self.gw.zones.emptied();
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -11,6 +11,7 @@
 pub mod catalog;
 pub mod cold;
 pub mod connect;
+mod continuation;
 mod crash_attribution;
 pub mod crashes;
 pub mod datagram;
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -231,8 +231,9 @@
     }
 
     /// Handles a target that failed during its answer. A resumable stream continues at another
-    /// target of the same software version after the last complete event that the caller received. Any other answer ends here,
-    /// and the connection is closed so that the answer cannot pass as complete.
+    /// target of the same software version, after the last complete event that the caller received.
+    /// Any other answer ends here, and the connection is closed so that the answer cannot pass as
+    /// complete.
     async fn resume_at_other_target<P: Platform>(
         &mut self,
         job: &mut Job<'_, P>,
--- a/src/gateway/targets.rs
+++ b/src/gateway/targets.rs
@@ -107,8 +107,8 @@
         let restarted = info.started_after(known.started_at);
         let moved = known.service != info.service || known.addr != info.addr;
         if restarted || moved || known.version != info.version {
-            // Another service, address or version alone does not discard the notices that the target has
-            // sent.
+            // Another service, address or version alone does not discard the notices that the
+            // target has sent.
             let self_reported =
                 if restarted { Availability::default() } else { all[i].self_reported.clone() };
             all[i] = self.backend(info, self_reported);
--- a/tests/test_gateway_versions.rs
+++ b/tests/test_gateway_versions.rs
@@ -304,3 +304,55 @@
         assert!(broken > 0);
     });
 }
+
+#[test]
+fn resumes_without_last_event_begins_anew() {
+    // Guards against a refusal of a caller that lost its connection before the first event.
+    run_local(async {
+        let fleet = Fleet::start(&["v1", "v2"], 1).await;
+        let got = stream("a").with_header("Resumes: gone").send(fleet.front(0)).await;
+        assert!(got.is_complete);
+        assert_eq!(got.events(), (1..=ALL_EVENTS).collect::<Vec<_>>());
+        assert!(is_one_version(&versions_of(&got.body)));
+    });
+}
+
+#[rstest]
+#[case::named_twice("Resumes: s0\r\nResumes: s1")]
+#[case::not_text("Resumes: s0\u{7}")]
+#[case::two_words("Resumes: s0 s1")]
+fn resumes_unclear_is_not_continued(#[case] headers: &str) {
+    // Guards against a guess which of two streams a caller means.
+    run_local(async {
+        let fleet = Fleet::start(&["v1", "v2"], 1).await;
+        let _streams = fleet.interrupted_streams().await;
+        let call = stream("again").with_header("Last-Event-Id: 4").with_header(headers);
+        let got = call.send(fleet.front(0)).await;
+        assert!([400, 503].contains(&got.status()), "{}", got.status());
+    });
+}
+
+#[test]
+fn third_attempt_names_the_first() {
+    // Guards against a stream that is lost at its second break: its caller names the request that
+    // brought the first event, not the one that continued it.
+    run_local(async {
+        let fleet = Fleet::start(&["v1", "v2", "v1", "v2"], 2).await;
+        for s in fleet.interrupted_streams().await {
+            let last = versions_of(&s.body).len();
+            let second = s.resume();
+            let mut conn = Conn::dial(fleet.front(1), Duration::from_secs(5)).await.unwrap();
+            conn.write(&second.bytes()).await.unwrap();
+            let mut framing = conn.read_response(64 * 1024).await.unwrap().body;
+            let mut body = s.body.clone();
+            while versions_of(&body).len() < 2 * last {
+                let piece = conn.read_piece(&mut framing).await.unwrap().unwrap();
+                body += std::str::from_utf8(&piece).unwrap();
+            }
+            drop(conn);
+            let third = Interrupted { id: s.id, body };
+            assert_eq!(fleet.resume_all(&[third], 0).await, 1);
+            fleet.targets.iter().for_each(|t| t.set_event_gap(EVENT_GAP));
+        }
+    });
+}
