--- a/src/gateway/members.rs
+++ b/src/gateway/members.rs
@@ -12,7 +12,7 @@
 use super::cold::OwnerCandidate;
 use super::connect::close_unusable_connections;
 use super::entry::RouterEntry;
-use super::origins::HolderRing;
+use super::origins::KeeperRing;
 use super::path::Relay;
 use super::quarantine::{CrashReport, Source};
 use super::state::{Gateway, Phase, Platform};
@@ -298,7 +298,7 @@
     gw.crashes.set_peers(addresses(&live));
     gw.zones.set_peers(addresses(&live));
     let routers = live.iter().map(|o| (o.instance.as_str(), o.entry.peer));
-    gw.origins.set_peers(HolderRing::new(routers));
+    gw.origins.set_peers(KeeperRing::new(routers));
     gw.hints.set_peers(addresses(&near), addresses(&far));
     gw.set_peers(others.iter().map(|o| o.entry.peer.ip()).collect());
     let retrying = 1 + others.iter().filter(|o| o.age_ms < RETRYING_ROUTER_MAX_AGE_MS).count();
--- a/src/gateway/origins.rs
+++ b/src/gateway/origins.rs
@@ -152,18 +152,18 @@
 /// follow a stream's key keep its origin. When a router joins or leaves, only the streams next to it
 /// change their routers.
 #[derive(Debug, Default)]
-pub struct HolderRing(Vec<(u64, SocketAddr)>);
+pub struct KeeperRing(Vec<(u64, SocketAddr)>);
 
-impl HolderRing {
+impl KeeperRing {
     /// The ring of these routers, given by instance and address.
-    pub fn new<'a>(routers: impl Iterator<Item = (&'a str, SocketAddr)>) -> HolderRing {
+    pub fn new<'a>(routers: impl Iterator<Item = (&'a str, SocketAddr)>) -> KeeperRing {
         let mut ring: Vec<_> = routers.map(|(name, addr)| (digest(&[name]), addr)).collect();
         ring.sort_unstable();
-        HolderRing(ring)
+        KeeperRing(ring)
     }
 
     /// The first `n` routers that follow a key.
-    pub fn holders(&self, key: StreamKey, n: usize) -> impl Iterator<Item = SocketAddr> {
+    pub fn keepers(&self, key: StreamKey, n: usize) -> impl Iterator<Item = SocketAddr> {
         let start = self.0.partition_point(|(digest, _)| *digest < key.0);
         let from_start = self.0[start..].iter().chain(&self.0[..start]);
         from_start.take(n).map(|(_, addr)| *addr)
--- a/src/gateway/resumption.rs
+++ b/src/gateway/resumption.rs
@@ -1,6 +1,6 @@
 //! Exchanges the origins of resumable streams with other routers, by datagram.
 //!
-//! The router that forwards a stream's first event tells [`HOLDERS`] other routers which version
+//! The router that forwards a stream's first event tells [`KEEPERS`] other routers which version
 //! began it. A router at which a caller resumes a stream asks these routers. Both are repeatable and
 //! lose nothing but time or the chance to continue if a datagram is lost: an origin is a fact that
 //! never changes, so late and repeated messages are harmless.
@@ -16,16 +16,16 @@
 use tokio::time::{Instant, sleep, timeout};
 
 use super::datagram::Topic;
-use super::origins::{HolderRing, Known, Origin, OriginTable, StreamKey};
+use super::origins::{KeeperRing, Known, Origin, OriginTable, StreamKey};
 use crate::oplog::Log;
 use crate::stats::Stats;
 
 /// Number of routers that keep the origin of a stream, beside the one that began it. All of them
 /// must end at once for it to be lost. Fleets of up to six routers tell it to every router.
-pub const HOLDERS: usize = 5;
-/// Number of routers that are asked for an origin. More than [`HOLDERS`], because the lists of two
+pub const KEEPERS: usize = 5;
+/// Number of routers that are asked for an origin. More than [`KEEPERS`], because the lists of two
 /// routers differ by those that have just started or ended, and by themselves.
-pub const ASKED_ROUTERS: usize = HOLDERS + 3;
+pub const ASKED_ROUTERS: usize = KEEPERS + 3;
 /// Time over which origins are collected into one datagram.
 const BATCH_DELAY: Duration = Duration::from_millis(20);
 /// Maximum number of origins in one datagram. At 19 bytes each, it fits into a usual packet.
@@ -62,7 +62,7 @@
     log: Log,
     stats: Stats,
     table: RefCell<OriginTable>,
-    ring: RefCell<HolderRing>,
+    ring: RefCell<KeeperRing>,
     unsent: RefCell<Vec<Origin>>,
     unsent_added: Notify,
     learnt: Notify,
@@ -91,7 +91,7 @@
     }
 
     /// Sets the other live routers.
-    pub fn set_peers(&self, ring: HolderRing) {
+    pub fn set_peers(&self, ring: KeeperRing) {
         *self.ring.borrow_mut() = ring;
     }
 
@@ -139,7 +139,7 @@
 
     fn send_query(&self, key: StreamKey) {
         let query = encode(&OriginMessage::Query(key));
-        for to in self.ring.borrow().holders(key, ASKED_ROUTERS) {
+        for to in self.ring.borrow().keepers(key, ASKED_ROUTERS) {
             self.send(&query, to);
         }
     }
@@ -176,7 +176,7 @@
             }
             sleep(BATCH_DELAY).await;
             let origins = std::mem::take(&mut *self.unsent.borrow_mut());
-            for (to, origins) in group_by_holder(&self.ring.borrow(), &origins) {
+            for (to, origins) in group_by_keeper(&self.ring.borrow(), &origins) {
                 for chunk in origins.chunks(MAX_ORIGINS_PER_DATAGRAM) {
                     self.send(&encode(&OriginMessage::Origins(chunk.to_vec())), to);
                 }
@@ -194,10 +194,10 @@
 }
 
 /// The origins that each router keeps, sorted by the router's address.
-fn group_by_holder(ring: &HolderRing, origins: &[Origin]) -> Vec<(SocketAddr, Vec<Origin>)> {
+fn group_by_keeper(ring: &KeeperRing, origins: &[Origin]) -> Vec<(SocketAddr, Vec<Origin>)> {
     let mut groups: Vec<(SocketAddr, Vec<Origin>)> = Vec::new();
     for origin in origins {
-        for to in ring.holders(origin.0, HOLDERS) {
+        for to in ring.keepers(origin.0, KEEPERS) {
             let i = groups.binary_search_by_key(&to, |(addr, _)| *addr).unwrap_or_else(|i| {
                 groups.insert(i, (to, Vec::new()));
                 i
--- a/tests/test_gateway_origins.rs
+++ b/tests/test_gateway_origins.rs
@@ -6,7 +6,7 @@
 
 use fastrand::Rng;
 use kingcupwall::gateway::origins::{
-    HolderRing, Known, Origin, OriginTable, StreamKey, VersionDigest,
+    KeeperRing, Known, Origin, OriginTable, StreamKey, VersionDigest,
 };
 use kingcupwall::http1::{BodyDecoder, Header, RequestHead};
 use proptest::prelude::*;
@@ -14,7 +14,7 @@
 use tokio::time::Instant;
 
 /// Number of routers that keep an origin, and that are asked for one.
-const HOLDERS: usize = 5;
+const KEEPERS: usize = 5;
 const ASKED: usize = 8;
 /// Number of simulated schedules. An injected bug must show in one of them.
 const SCHEDULES: u64 = 300;
@@ -68,7 +68,7 @@
     bug: InjectedBug,
     now: Instant,
     tables: Vec<OriginTable>,
-    rings: Vec<HolderRing>,
+    rings: Vec<KeeperRing>,
     in_transit: Vec<(usize, Origin)>,
     streams: Vec<Stream>,
     continued: usize,
@@ -93,11 +93,11 @@
     }
 
     /// The list of a router, from which some routers may be missing.
-    fn random_ring(&mut self, own: usize) -> HolderRing {
+    fn random_ring(&mut self, own: usize) -> KeeperRing {
         let known: Vec<usize> =
             (0..self.tables.len()).filter(|i| *i != own && self.rng.f64() < 0.9).collect();
         let names: Vec<String> = known.iter().map(|i| format!("r{i}")).collect();
-        HolderRing::new(names.iter().zip(&known).map(|(name, i)| (name.as_str(), addr(*i))))
+        KeeperRing::new(names.iter().zip(&known).map(|(name, i)| (name.as_str(), addr(*i))))
     }
 
     fn key(&self, org: &str, id: &str) -> StreamKey {
@@ -144,11 +144,11 @@
             }
         }
         self.tables[router].insert(origin, self.now);
-        let holders: Vec<_> = self.rings[router].holders(origin.0, HOLDERS).collect();
-        for holder in holders {
+        let keepers: Vec<_> = self.rings[router].keepers(origin.0, KEEPERS).collect();
+        for keeper in keepers {
             // Datagrams may be repeated.
             for _ in 0..self.rng.u32(1..3) {
-                self.in_transit.push((usize::from(holder.port()) - 1_000, origin));
+                self.in_transit.push((usize::from(keeper.port()) - 1_000, origin));
             }
         }
     }
@@ -168,9 +168,9 @@
         if let Some((known, _)) = self.tables[router].get(key, self.now) {
             return Some(known);
         }
-        let asked: Vec<_> = self.rings[router].holders(key, ASKED).collect();
-        for holder in asked {
-            let answer = self.tables[usize::from(holder.port()) - 1_000].get(key, self.now);
+        let asked: Vec<_> = self.rings[router].keepers(key, ASKED).collect();
+        for keeper in asked {
+            let answer = self.tables[usize::from(keeper.port()) - 1_000].get(key, self.now);
             for origin in answer.map(|(k, _)| k.to_origins(key)).unwrap_or_default() {
                 self.tables[router].insert(origin, self.now);
             }
@@ -284,7 +284,7 @@
 
 proptest! {
     #[test]
-    fn holders_found_by_any_router(
+    fn keepers_found_by_any_router(
         n in 2_usize..100,
         key in any::<u64>(),
         origin in any::<prop::sample::Index>(),
@@ -298,11 +298,11 @@
         let ring = |own: usize, last: usize| {
             let names: Vec<(String, SocketAddr)> =
                 (0..last).filter(|i| *i != own).map(|i| (format!("r{i}"), addr(i))).collect();
-            HolderRing::new(names.iter().map(|(name, addr)| (name.as_str(), *addr)))
+            KeeperRing::new(names.iter().map(|(name, addr)| (name.as_str(), *addr)))
         };
-        let holders: Vec<_> = ring(origin, n).holders(StreamKey(key), HOLDERS).collect();
-        let asked: Vec<_> = ring(asker, n + joined).holders(StreamKey(key), ASKED).collect();
-        let missed = holders.iter().filter(|h| **h != addr(asker) && !asked.contains(h));
+        let keepers: Vec<_> = ring(origin, n).keepers(StreamKey(key), KEEPERS).collect();
+        let asked: Vec<_> = ring(asker, n + joined).keepers(StreamKey(key), ASKED).collect();
+        let missed = keepers.iter().filter(|h| **h != addr(asker) && !asked.contains(h));
         prop_assert_eq!(missed.count(), 0);
     }
 }
