Tests of three guards of resumed streams; an unused count is removed

The last reading found guards that no test holds: a target whose version changes under its id, a stream whose route no longer leads to its service, and datagrams about origins with any content. They pass; that each fails without its guard was not run. The count of origins had no caller.

--- a/src/gateway/resumption.rs
+++ b/src/gateway/resumption.rs
@@ -95,11 +95,6 @@
         *self.ring.borrow_mut() = ring;
     }
 
-    /// Number of streams whose origin is known.
-    pub fn count(&self) -> usize {
-        self.table.borrow().len()
-    }
-
     /// Records the origin of a stream whose first event this router forwards now, and tells other
     /// routers.
     pub fn record(&self, origin: Origin) {
--- a/tests/test_gateway_origins.rs
+++ b/tests/test_gateway_origins.rs
@@ -8,7 +8,10 @@
 use kingcupwall::gateway::origins::{
     KeeperRing, Known, Origin, OriginTable, StreamKey, VersionDigest,
 };
+use kingcupwall::gateway::resumption::StreamOrigins;
 use kingcupwall::http1::{BodyDecoder, Header, RequestHead};
+use kingcupwall::oplog::Log;
+use kingcupwall::stats::Stats;
 use proptest::prelude::*;
 use rstest::rstest;
 use tokio::time::Instant;
@@ -283,6 +286,13 @@
 }
 
 proptest! {
+    #[test]
+    fn handle_arbitrary_datagram(bytes in proptest::collection::vec(any::<u8>(), 0..200)) {
+        // Guards against a router that ends because of what another program sends.
+        let origins = StreamOrigins::new(Log::new(), Stats::new());
+        origins.handle_datagram(addr(1), &bytes);
+    }
+
     #[test]
     fn keepers_found_by_any_router(
         n in 2_usize..100,
--- a/tests/test_gateway_targets.rs
+++ b/tests/test_gateway_targets.rs
@@ -147,6 +147,20 @@
     assert_eq!(targets.set(moved), Change::Restarted);
 }
 
+#[test]
+fn set_other_version() {
+    // Guards against a stream that continues at another version because its target's entry changed:
+    // requests in flight keep the version that they began at.
+    let targets = Targets::default();
+    targets.set(entry(None, READY));
+    let began_at = only(&targets).version();
+    let changed = TargetInfo { version: "v2".parse().ok(), ..entry(None, READY) };
+    let before = only(&targets);
+    assert_eq!(targets.set(changed), Change::Restarted);
+    assert_eq!(before.version(), began_at);
+    assert_ne!(only(&targets).version(), began_at);
+}
+
 /// Guards against prefilling a long shared part repeatedly. Parts used by only one request evict it
 /// from a target's cache; if routers did not count those, they would assume it is still cached
 /// there and send no request to the target that does have it.
--- a/tests/test_gateway_versions.rs
+++ b/tests/test_gateway_versions.rs
@@ -356,3 +356,18 @@
         }
     });
 }
+
+#[test]
+fn stream_is_not_continued_at_a_service_without_its_route() {
+    // Guards against a stream that goes on at a service to which its route does not lead any more.
+    run_local(async {
+        let fleet = Fleet::start(&["v1", "v1"], 1).await;
+        let streams = fleet.interrupted_streams().await;
+        let mut parts = catalog_parts(2, 1_000_000);
+        parts.routes.iter_mut().for_each(|r| r.shares[0].service = "other".into());
+        fleet.platform.configure(parts);
+        let in_force = || fleet.routers[0].gw.config().is_some_and(|c| c.version == 2);
+        eventually("the new configuration is in force", in_force).await;
+        refused(streams[0].resume(), &fleet).await;
+    });
+}
