Targets: read and log how many requests a target can reject

A target may state in its answers how many requests per second it can reject before it crashes. The header was dropped, so neither a rejection's log line nor a metric told whether the target was in danger, and the hypotheses of the incident could not be told apart. It is now read where all announcements of targets are read, logged once for each change (event=notice), named in the line of each failed send (event=send rejection_limit=), and counted. No decision uses it yet.

Values: 0 is valid; beyond u32 is cut to it; negative, fractional or empty values count as 'unreadable', which is the same as 0; a 421 comes from another target and says nothing.

--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -502,9 +502,10 @@
         self.gw.log.note(
             "send",
             format_args!(
-                "id={id} target={target} version={} via={} ended={ended:?} runs={runs_before} sends={} at_ms={ms}",
+                "id={id} target={target} version={} via={} ended={ended:?} rejection_limit={} runs={runs_before} sends={} at_ms={ms}",
                 OrDash(backend.version_name()),
                 OrDash(self.via),
+                OrDash(backend.self_reported.rejection_limit()),
                 self.send_counts.sends
             ),
         );
--- a/src/gateway/notice.rs
+++ b/src/gateway/notice.rs
@@ -5,6 +5,7 @@
 //! cannot overwrite it.
 
 use std::cell::Cell;
+use std::fmt;
 use std::time::{Duration, SystemTime};
 
 use tokio::time::Instant;
@@ -26,6 +27,44 @@
     /// sent 429 and the router paused them for the stated time, the service would take next to no
     /// requests.
     pub retry_after: Option<RetryAfter>,
+    /// How many requests the target can reject; `None` if it states no limit.
+    pub rejection_limit: Option<RejectionLimit>,
+}
+
+/// The maximum number of requests that a target can reject for want of capacity within one second.
+/// It crashes when it rejects more.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum RejectionLimit {
+    /// The number stated.
+    PerSecond(u32),
+    /// The value cannot be parsed. The target counts as one that can reject nothing.
+    Unreadable,
+}
+
+impl RejectionLimit {
+    fn parse(stated: &str) -> RejectionLimit {
+        match stated.trim().parse::<u128>() {
+            Ok(n) => RejectionLimit::PerSecond(u32::try_from(n).unwrap_or(u32::MAX)),
+            Err(_) => RejectionLimit::Unreadable,
+        }
+    }
+
+    /// Number of rejections per second that are safe.
+    pub fn per_second(self) -> u32 {
+        match self {
+            RejectionLimit::PerSecond(n) => n,
+            RejectionLimit::Unreadable => 0,
+        }
+    }
+}
+
+impl fmt::Display for RejectionLimit {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            RejectionLimit::PerSecond(n) => n.fmt(f),
+            RejectionLimit::Unreadable => f.write_str("unreadable"),
+        }
+    }
 }
 
 /// The content of a `Retry-After` header.
@@ -49,6 +88,7 @@
                 retry_after: stated("retry-after")
                     .filter(|_| status == 503)
                     .map(|after| retry_after(after.trim(), stated("date"))),
+                rejection_limit: stated(&names.rejection_limit).map(RejectionLimit::parse),
             },
         }
     }
@@ -75,6 +115,7 @@
 pub struct Availability {
     leaving: Cell<bool>,
     backoff_until: Cell<Option<Instant>>,
+    rejection_limit: Cell<Option<RejectionLimit>>,
 }
 
 impl Availability {
@@ -85,7 +126,8 @@
             Some(RetryAfter::Delay(delay)) => self.back_off(now, delay),
             Some(RetryAfter::Unreadable) | None => false,
         };
-        newly_leaving || longer_backoff
+        let limit_before = self.rejection_limit.replace(notice.rejection_limit);
+        newly_leaving || longer_backoff || limit_before != notice.rejection_limit
     }
 
     /// Sends the target no requests for `delay`. Returns whether this extends the current backoff.
@@ -98,6 +140,11 @@
         until > before
     }
 
+    /// How many requests the target can reject, by its latest answer; `None` if it states no limit.
+    pub fn rejection_limit(&self) -> Option<RejectionLimit> {
+        self.rejection_limit.get()
+    }
+
     /// Whether the target has announced that it is about to stop.
     pub fn is_leaving(&self) -> bool {
         self.leaving.get()
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -47,6 +47,8 @@
     pub not_run: CompactString,
     /// A target's announcement that it is about to stop.
     pub leaving: CompactString,
+    /// How many requests a target can reject within one second without a crash.
+    pub rejection_limit: CompactString,
     /// Headers that only routers and targets may set; dropped when a caller sends them.
     pub reserved: Vec<CompactString>,
 }
--- a/src/gateway/send.rs
+++ b/src/gateway/send.rs
@@ -237,8 +237,7 @@
     /// another request.
     fn apply_notice(&self, head: &ResponseHead) {
         let notice = Notice::read(self.header_names(), head);
-        let Some(backend) = self.current_target.as_ref().filter(|_| notice != Notice::default())
-        else {
+        let Some(backend) = self.current_target.as_ref().filter(|_| head.status != 421) else {
             return;
         };
         count_notice(&self.gw.stats, notice);
@@ -247,11 +246,12 @@
             return;
         }
         let (id, target, status) = (&self.meta.id, backend.id(), head.status);
-        let Notice { leaving, retry_after } = notice;
+        let Notice { leaving, retry_after, rejection_limit } = notice;
         self.gw.log.note(
             "notice",
             format_args!(
-                "target={target} id={id} status={status} leaving={leaving} retry_after={retry_after:?}"
+                "target={target} id={id} status={status} leaving={leaving} retry_after={retry_after:?} rejection_limit={}",
+                OrDash(rejection_limit)
             ),
         );
     }
--- a/src/gateway/stats.rs
+++ b/src/gateway/stats.rs
@@ -2,7 +2,7 @@
 
 use std::io;
 
-use super::notice::{Notice, RetryAfter};
+use super::notice::{Notice, RejectionLimit, RetryAfter};
 use super::outcome::SendOutcome;
 use crate::stats::{OutcomeLabels, ReasonLabel, Stats};
 
@@ -55,4 +55,9 @@
         Some(RetryAfter::Unreadable) => count("unreadable"),
         None => (),
     }
+    match notice.rejection_limit {
+        Some(RejectionLimit::PerSecond(_)) => count("rejection_limit"),
+        Some(RejectionLimit::Unreadable) => count("unreadable_rejection_limit"),
+        None => (),
+    }
 }
--- a/src/standin/gateway.rs
+++ b/src/standin/gateway.rs
@@ -36,6 +36,9 @@
 pub const NOT_RUN: &str = "Not-Run";
 /// Name of the header of a target that is about to stop, see [`Names::leaving`].
 pub const LEAVING: &str = "Leaving";
+/// Name of the header with the rejections that a target can bear, see
+/// [`HeaderNames::rejection_limit`].
+pub const REJECTION_LIMIT: &str = "Rejection-Limit";
 /// Name of the header with the token counts, see [`Names::token_counts`].
 pub const TOKEN_COUNTS: &str = "Tokens";
 /// Name of the header with the last event received, see [`Names::last_event_id`].
@@ -56,6 +59,7 @@
         expect_target: EXPECT_TARGET.into(),
         not_run: NOT_RUN.into(),
         leaving: LEAVING.into(),
+        rejection_limit: REJECTION_LIMIT.into(),
         reserved: vec![ORGANISATION.into(), EXPECT_TARGET.into(), NOT_RUN.into(), SEAL.into()],
     }
 }
--- a/tests/test_gateway_notices.rs
+++ b/tests/test_gateway_notices.rs
@@ -6,10 +6,10 @@
 use kingcupwall::gateway::Platform;
 use kingcupwall::gateway::cold::{OwnerCandidate, WarmUp};
 use kingcupwall::gateway::datagram::Topic;
-use kingcupwall::gateway::notice::{Notice, RetryAfter};
+use kingcupwall::gateway::notice::{Notice, RejectionLimit, RetryAfter};
 use kingcupwall::gateway::warmup::AdmissionMessage;
 use kingcupwall::http1::ResponseHead;
-use kingcupwall::standin::gateway::{LEAVING, LocalPlatform, catalog_parts};
+use kingcupwall::standin::gateway::{LEAVING, LocalPlatform, REJECTION_LIMIT, catalog_parts};
 use kingcupwall::standin::gateway_target::{StandinTarget, TargetFault};
 use rstest::rstest;
 use tokio::net::UdpSocket;
@@ -83,6 +83,26 @@
     assert_eq!(read(503, &headers).retry_after, expected);
 }
 
+#[rstest]
+#[case::success(200, "3", Some(RejectionLimit::PerSecond(3)))]
+#[case::failure(500, "1", Some(RejectionLimit::PerSecond(1)))]
+#[case::refusal(503, " 30 ", Some(RejectionLimit::PerSecond(30)))]
+#[case::none_allowed(200, "0", Some(RejectionLimit::PerSecond(0)))]
+#[case::beyond_any_rate(200, "4294967296", Some(RejectionLimit::PerSecond(u32::MAX)))]
+#[case::negative(200, "-1", Some(RejectionLimit::Unreadable))]
+#[case::fraction(200, "1.5", Some(RejectionLimit::Unreadable))]
+#[case::words(200, "few", Some(RejectionLimit::Unreadable))]
+#[case::empty(200, "", Some(RejectionLimit::Unreadable))]
+#[case::of_another_target(421, "3", None)]
+fn notice_rejection_limit(
+    #[case] status: u16,
+    #[case] value: &str,
+    #[case] expected: Option<RejectionLimit>,
+) {
+    assert_eq!(read(status, &[(REJECTION_LIMIT, value)]).rejection_limit, expected);
+    assert_eq!(read(status, &[]).rejection_limit, None);
+}
+
 #[test]
 fn log_has_notices() {
     run_local(async {
@@ -93,10 +113,9 @@
         fleet.targets[0].set_leaving(true);
         Call::get("/once/a").id("q2").send(fleet.router.front).await;
         let log = fleet.router.log.take();
-        let expected =
-            "event=notice target=t1 id=q1 status=503 leaving=false retry_after=Some(Delay(100ms))";
+        let expected = "event=notice target=t1 id=q1 status=503 leaving=false retry_after=Some(Delay(100ms)) rejection_limit=-";
         assert!(log.contains(expected), "{log}");
-        let expected = "event=notice target=t1 id=q2 status=200 leaving=true retry_after=None";
+        let expected = "event=notice target=t1 id=q2 status=200 leaving=true retry_after=None rejection_limit=-";
         assert!(log.contains(expected), "{log}");
         let page = fleet.router.gw.stats.to_openmetrics();
         assert!(page.contains(r#"kingcupwall_target_notices_total{reason="leaving"} 1"#), "{page}");
@@ -291,8 +310,8 @@
 /// Guards against sending a request to a target that became unavailable after the request had
 /// selected it.
 #[rstest]
-#[case::announces_leaving(Notice { leaving: true, retry_after: None })]
-#[case::announces_backoff(Notice { leaving: false, retry_after: delay(3_000) })]
+#[case::announces_leaving(Notice { leaving: true, ..Notice::default() })]
+#[case::announces_backoff(Notice { retry_after: delay(3_000), ..Notice::default() })]
 fn request_not_sent_after_notice(#[case] notice: Notice) {
     run_local(async {
         let fleet = Fleet::start(1, 1_000).await;
--- a/tests/test_gateway_targets.rs
+++ b/tests/test_gateway_targets.rs
@@ -185,7 +185,7 @@
     assert_eq!(uncached(), 6_000);
 }
 
-const LEAVING: Notice = Notice { leaving: true, retry_after: None };
+const LEAVING: Notice = Notice { leaving: true, retry_after: None, rejection_limit: None };
 
 /// Guards against entries that discard a target's own leaving notice, and against a notice of an
 /// earlier start that excludes the restarted target.
@@ -241,6 +241,7 @@
     let retry_after_notice = |ms| Notice {
         leaving: false,
         retry_after: Some(RetryAfter::Delay(Duration::from_millis(ms))),
+        rejection_limit: None,
     };
     let (availability, start) = (Availability::default(), Instant::now());
     let at = |ms| start + Duration::from_millis(ms);
@@ -254,7 +255,7 @@
     assert!(availability.apply_notice(retry_after_notice(3_000), at(1_000)));
     assert_eq!(backoff_ms(3_500), Some(500));
     assert!(!availability.apply_notice(
-        Notice { leaving: false, retry_after: Some(RetryAfter::Unreadable) },
+        Notice { retry_after: Some(RetryAfter::Unreadable), ..Notice::default() },
         at(9_000)
     ));
     assert_eq!(backoff_ms(9_000), None);
