Tests of targets that crash when they reject too many requests, committed failing

Stand-in targets have slots, a queue and a time of work; they can announce how many requests per second they can reject, and crash beyond it. The test lets them announce it, makes their queues short a second later, and counts crashes under even and skewed load, overload and bursts, at 6 and 20 routers. Callers come back once, when the router asks for it; crashed targets are replaced.

--- a/src/standin/gateway_target.rs
+++ b/src/standin/gateway_target.rs
@@ -14,6 +14,7 @@
 use tokio::time::Instant;
 
 use super::gateway::{SEAL, header_names};
+use super::target_capacity::{Capacity, Places, Rejection};
 use crate::error::Result;
 use crate::gateway::HeaderNames;
 use crate::http1::{Conn, Header, RequestHead, header};
@@ -122,6 +123,7 @@
     reject_all: Option<&'static str>,
     version: CompactString,
     arrivals: Vec<Arrival>,
+    places: Places,
 }
 
 /// A target with its own port. Clones share its state.
@@ -232,6 +234,22 @@
         self.shared.borrow_mut().reject_all = retry_after;
     }
 
+    /// Limits how many requests the target runs and queues at once; no limit with `None`.
+    pub fn set_capacity(&self, capacity: Option<Capacity>) {
+        self.shared.borrow().places.set_capacity(capacity);
+    }
+
+    /// Announces, in all answers, how many requests the target can reject within one second for
+    /// want of capacity. When it rejects more, it crashes.
+    pub fn set_rejection_limit(&self, limit: Option<u32>) {
+        self.shared.borrow().places.set_rejection_limit(limit);
+    }
+
+    /// Number of requests that the target rejected for want of capacity.
+    pub fn rejections(&self) -> usize {
+        self.shared.borrow().places.rejections()
+    }
+
     /// The requests that arrived, except those intended for another target.
     pub fn arrivals(&self) -> Vec<Arrival> {
         self.shared.borrow().arrivals.clone()
@@ -327,6 +345,15 @@
             self.crash();
             return false;
         }
+        let places = self.shared.borrow().places.clone();
+        let place = match places.take(Instant::now()) {
+            Ok(place) => place,
+            Err(Rejection::Tolerated) => return self.reject(conn, &id, "").await,
+            Err(Rejection::Fatal) => {
+                self.crash();
+                return false;
+            }
+        };
         let request = ReceivedRequest {
             id: id.clone(),
             target: head.target.clone(),
@@ -336,6 +363,13 @@
         };
         let is_fatal = request.body == FATAL_BODY;
         self.shared.borrow_mut().runs.push(request);
+        let _slot = tokio::select! {
+            slot = place.run() => slot,
+            () = conn.wait_closed() => {
+                self.shared.borrow_mut().closed_early += 1;
+                return false;
+            }
+        };
         if is_fatal {
             self.crash_after_event_gap();
             return std::future::pending().await;
@@ -390,7 +424,7 @@
             "HTTP/1.1 200 OK\r\n{}: {id}\r\n{seal}{}Content-Type: text/event-stream\r\n\
              Transfer-Encoding: chunked\r\n\r\n",
             names.request_id,
-            self.leaving_header()
+            self.announcements()
         );
         if !write(conn, start.as_bytes()).await {
             return false;
@@ -428,17 +462,25 @@
         write(conn, &self.response(503, id, &headers, "")).await
     }
 
-    /// The header line announcing that the target is about to stop, or nothing.
-    fn leaving_header(&self) -> String {
-        let leaving = self.shared.borrow().announces_leaving;
-        if leaving { format!("{}: 1\r\n", self.names.headers.leaving) } else { String::new() }
+    /// The header lines in which the target announces that it is about to stop, and how many
+    /// requests it can reject.
+    fn announcements(&self) -> String {
+        let (shared, names) = (self.shared.borrow(), &self.names.headers);
+        let mut lines = String::new();
+        if shared.announces_leaving {
+            lines += &format!("{}: 1\r\n", names.leaving);
+        }
+        if let Some(limit) = shared.places.rejection_limit() {
+            lines += &format!("{}: {limit}\r\n", names.rejection_limit);
+        }
+        lines
     }
 
     fn response(&self, status: u16, id: &str, headers: &str, body: &str) -> Vec<u8> {
-        let (name, len, leaving) =
-            (&self.names.headers.request_id, body.len(), self.leaving_header());
+        let (name, len, announced) =
+            (&self.names.headers.request_id, body.len(), self.announcements());
         format!(
-            "HTTP/1.1 {status} Stated\r\n{name}: {id}\r\n{headers}{leaving}Content-Length: {len}\r\n\r\n{body}"
+            "HTTP/1.1 {status} Stated\r\n{name}: {id}\r\n{headers}{announced}Content-Length: {len}\r\n\r\n{body}"
         )
         .into_bytes()
     }
--- a/src/standin/mod.rs
+++ b/src/standin/mod.rs
@@ -12,6 +12,7 @@
 pub mod platform;
 pub mod proxy;
 pub mod target;
+pub mod target_capacity;
 
 use std::net::SocketAddr;
 
--- a/tests/tests.rs
+++ b/tests/tests.rs
@@ -27,6 +27,7 @@
 mod test_gateway_notices;
 mod test_gateway_orders;
 mod test_gateway_origins;
+mod test_gateway_overload;
 mod test_gateway_partition;
 mod test_gateway_quarantine;
 mod test_gateway_targets;
