Targets that rejections endanger: their owner counts the requests of all routers

What callers saw: while the targets of a service crash when they reject more than N requests a second, they crash one after the other; each crash breaks off all answers of its target.

Cause: each router bounds only its own requests at a target and learns of a full one by its own rejections, after which it alone pauses 120 ms. Class: a limit of a shared resource enforced by each user alone.

Ruled out: that spreading alone suffices (the even case crashed 6 targets at 60% of capacity), and that retries are the cause (each case rejected 2 to 4 requests per crash: a single burst is enough).

Change: as long as the targets of a service state how many rejections they can bear, the owner of a target (chosen as for cold targets, with a second one behind it) admits no more requests of all routers together than the target has slots, and fewer once it has rejected one. Routers report how many requests they have there, so that lost messages repair themselves. A router that reaches no owner keeps to a share. What waits for room is woken by the owner when a place becomes free; what cannot be served within its latency aim is refused at once. The announcement is passed on to routers that hear no answer themselves.

Why it holds: a target rejects only what exceeds its slots and its queue, and the count errs upwards: admissions count from the answer to the query on.

rank_owners replaces pick_owner's search; digests are computed only among routers of the same zone and capacity.

--- a/src/gateway/backend.rs
+++ b/src/gateway/backend.rs
@@ -11,6 +11,7 @@
 use compact_str::CompactString;
 use tokio::time::Instant;
 
+use super::capacity::EndedRequests;
 use super::liveness::Liveness;
 use super::load::Load;
 use super::notice::Availability;
@@ -125,8 +126,9 @@
     pub(super) entry_lapsed: Cell<bool>,
     /// End of the target's warm-up.
     cold_until: Cell<Option<Instant>>,
-    /// During warm-up: when the target next has capacity for a request of this router.
-    pub(super) no_room_until: Cell<Option<Instant>>,
+    /// When the target next has capacity for a request of this router, if requests to it are
+    /// limited.
+    no_room_until: Cell<Option<Instant>>,
 }
 
 impl TargetInfo {
@@ -181,12 +183,23 @@
         self.cold_until.get().is_some_and(|t| t > now)
     }
 
-    /// Marks the target as without capacity for requests of this router for `time`. Applies only
-    /// during warm-up.
+    /// Marks the target as without capacity for requests of this router for `time`.
     pub fn set_no_room(&self, time: Duration) {
         self.no_room_until.set(Instant::now().checked_add(time));
     }
 
+    /// Time until the target has capacity for a request of this router; `None` if it has some, or
+    /// if that is not known.
+    pub fn room_in(&self, now: Instant) -> Option<Duration> {
+        let left = self.no_room_until.get()?.saturating_duration_since(now);
+        Some(left).filter(|t| !t.is_zero())
+    }
+
+    /// Number of requests that this router has sent to the target and that have not ended.
+    pub fn sent_requests(&self) -> u32 {
+        self.load.borrow().sent_requests
+    }
+
     /// The target's id.
     pub fn id(&self) -> CompactString {
         self.info.borrow().id.clone()
@@ -252,9 +265,10 @@
         self.pool.borrow_mut().clear();
     }
 
-    /// Records that the target rejected a request without running it.
-    pub fn record_rejection(&self) {
-        self.self_reported.back_off(Instant::now(), REJECTION_PAUSE);
+    /// Records that the target rejected a request without running it. `pause` is how long a target
+    /// that rejections endanger gets no further ones.
+    pub fn record_rejection(&self, pause: Option<Duration>) {
+        self.self_reported.back_off(Instant::now(), pause.unwrap_or(REJECTION_PAUSE));
     }
 }
 
@@ -267,6 +281,8 @@
     /// Number of its prompt among those that the engine has yet to read; `None` once the prompt was
     /// read.
     prompt_number: Option<u64>,
+    /// Set once the request is written to the target.
+    ended: Option<Rc<EndedRequests>>,
 }
 
 impl InFlight {
@@ -277,14 +293,16 @@
         let prompt_number =
             plan.engine.then(|| load.add_prefill(duration_from_ms(plan.prefill_ms), now));
         drop(load);
-        InFlight { backend: backend.clone(), sent_at: now, plan: *plan, prompt_number }
+        InFlight { backend: backend.clone(), sent_at: now, plan: *plan, prompt_number, ended: None }
     }
 
     /// Records that the request is written to the target, which will then have the parts of its
-    /// prompt cached.
-    pub fn record_sent(&self, parts: &[PromptPart]) {
+    /// prompt cached. Its end is recorded in `ended`.
+    pub fn record_sent(&mut self, parts: &[PromptPart], ended: Rc<EndedRequests>) {
+        self.ended = Some(ended);
+        let mut load = self.backend.load.borrow_mut();
+        load.sent_requests += 1;
         if self.plan.engine {
-            let mut load = self.backend.load.borrow_mut();
             load.cache.insert_parts(parts, Instant::now(), self.plan.cache_tokens);
         }
     }
@@ -335,6 +353,11 @@
         if let Some(number) = self.prompt_number {
             load.cancel_prefill(number);
         }
+        if let Some(ended) = &self.ended {
+            load.sent_requests -= 1;
+            drop(load);
+            ended.record(&self.backend);
+        }
     }
 }
 
--- a/src/gateway/cold.rs
+++ b/src/gateway/cold.rs
@@ -162,14 +162,26 @@
 
 /// The owner of a target: one of the largest routers in the target's zone, or in the whole fleet if
 /// the zone has none. `None` if there are no routers.
-pub fn pick_owner<'a>(
-    routers: &'a [OwnerCandidate],
+pub fn pick_owner(routers: &[OwnerCandidate], target: &str, zone: &str) -> Option<OwnerCandidate> {
+    rank_owners(routers, target, zone, 1).into_iter().next()
+}
+
+/// The first `n` routers in the order in which they own a target, if those before them fail.
+pub fn rank_owners(
+    routers: &[OwnerCandidate],
     target: &str,
     zone: &str,
-) -> Option<&'a OwnerCandidate> {
-    let rank = |r: &&OwnerCandidate| (r.capacity, Reverse(rendezvous(target, &r.instance)));
-    let near = routers.iter().filter(|r| r.zone == zone).max_by_key(rank);
-    near.or_else(|| routers.iter().max_by_key(rank))
+    n: usize,
+) -> Vec<OwnerCandidate> {
+    let class = |r: &OwnerCandidate| Reverse((r.zone == zone, r.capacity));
+    let mut ranked: Vec<_> = routers.iter().map(|r| (class(r), r)).collect();
+    ranked.sort_unstable_by_key(|(class, _)| *class);
+    // The digest is computed only where it decides.
+    if let Some(last) = n.checked_sub(1).and_then(|i| ranked.get(i)).map(|(class, _)| *class) {
+        ranked.retain(|(class, _)| *class <= last);
+    }
+    ranked.sort_by_cached_key(|(class, r)| (*class, rendezvous(target, &r.instance)));
+    ranked.into_iter().take(n).map(|(_, r)| r.clone()).collect()
 }
 
 fn rendezvous(target: &str, instance: &str) -> u64 {
--- a/src/gateway/datagram.rs
+++ b/src/gateway/datagram.rs
@@ -18,6 +18,8 @@
     Cold = 5,
     /// Software versions that began resumable streams.
     Origins = 6,
+    /// Admission of requests to targets that crash when they reject too many.
+    Capacity = 7,
 }
 
 impl Topic {
@@ -39,6 +41,7 @@
             Topic::Orders,
             Topic::Cold,
             Topic::Origins,
+            Topic::Capacity,
         ];
         let topic = topics.into_iter().find(|t| *t as u8 == *first)?;
         Some((topic, payload))
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -10,7 +10,7 @@
 use bytes::Bytes;
 use compact_str::CompactString;
 use tokio::task::spawn_local;
-use tokio::time::{Instant, sleep, timeout_at};
+use tokio::time::{Instant, timeout_at};
 
 use super::backend::{Backend, PlacementPlan};
 use super::catalog::{Catalog, Route, RouteKind};
@@ -22,7 +22,7 @@
 use super::place::{Placement, PlacementGoal, place};
 use super::refusal::{
     DEFAULT_RETRY_AFTER, MAX_RETRY_AFTER, RejectedRequest, RouterResponse, backoff_refusal,
-    cold_refusal,
+    no_room_refusal,
 };
 use super::reply::Reply;
 use super::request::{HeaderNames, RequestMeta, host, path};
@@ -45,16 +45,19 @@
 /// `Retry-After` while every zone that has targets is emptied by the operator. Such maintenance
 /// lasts longer than a caller may wait between two attempts.
 const ZONES_EMPTIED_RETRY_AFTER: Duration = Duration::from_secs(3);
-/// Extra delay before a request retries a cold target, for each step of its priority rank, so that
+/// Extra delay before a request retries a cold or full target, for each step of its priority rank, so that
 /// more urgent requests get the capacity first.
-const COLD_WAIT_PER_RANK: Duration = Duration::from_millis(10);
+const ROOM_WAIT_PER_RANK: Duration = Duration::from_millis(10);
+/// Number of targets in a row without room after which a request waits before it tries others.
+/// Each try asks another router.
+const MAX_HELD_OFF_SENDS: u32 = 4;
 
 /// Why no target was selected for a request.
 enum Unplaced {
     /// The router refuses the request.
     Refused(RouterResponse),
-    /// All remaining targets are cold; one has capacity after `room_in`.
-    Cold { room_in: Duration },
+    /// All remaining targets are cold or full; one has capacity after `room_in`.
+    NoRoom { room_in: Duration },
 }
 
 /// The state of one request while it is served.
@@ -309,6 +312,7 @@
         resume_after: Option<CompactString>,
     ) -> Result<Reply, RouterResponse> {
         let mut failure_reply: Option<Reply> = None;
+        let mut held_off = 0;
         loop {
             // Checked before every send, not only the first: the previous send may have crashed a
             // target, and retries that the id and the service would allow could crash the next one.
@@ -317,12 +321,13 @@
             }
             let (backend, plan) = match self.choose_target() {
                 Ok(chosen) => chosen,
-                Err(Unplaced::Cold { room_in }) if self.can_wait_for_room(room_in) => {
-                    sleep(self.room_wait(room_in)).await;
+                Err(Unplaced::NoRoom { room_in }) if self.can_wait_for_room(room_in) => {
+                    self.wait_for_room(room_in).await;
                     continue;
                 }
-                Err(Unplaced::Cold { room_in }) => {
-                    return failure_reply.ok_or(self.map_refusal(cold_refusal(room_in)));
+                Err(Unplaced::NoRoom { room_in }) => {
+                    let resp = no_room_refusal(self.no_room_reason(), room_in);
+                    return failure_reply.ok_or(self.map_refusal(resp));
                 }
                 Err(Unplaced::Refused(resp)) => return failure_reply.ok_or(self.map_refusal(resp)),
             };
@@ -343,7 +348,17 @@
             if ended == SendOutcome::HeldOff {
                 // Nothing was sent, so the request may go to this target later.
                 self.tried.pop();
-                continue;
+                held_off += 1;
+                let room_in = backend.room_in(Instant::now()).unwrap_or_default();
+                if held_off % MAX_HELD_OFF_SENDS != 0 {
+                    continue;
+                }
+                if self.can_wait_for_room(room_in) {
+                    self.wait_for_room(room_in).await;
+                    continue;
+                }
+                let resp = no_room_refusal(self.no_room_reason(), room_in);
+                return failure_reply.ok_or(self.map_refusal(resp));
             }
             self.record_failed_send(&backend, ended, ran_before);
             if ended == SendOutcome::NoPath {
@@ -384,7 +399,7 @@
             Err(Unplaced::Refused(response)) => {
                 RouterResponse { reason: "target_refused", ..response }
             }
-            Err(Unplaced::Cold { room_in }) => cold_refusal(room_in),
+            Err(Unplaced::NoRoom { room_in }) => no_room_refusal(self.no_room_reason(), room_in),
             Ok(_) => RouterResponse::refusal("target_refused", DEFAULT_RETRY_AFTER),
         }
     }
@@ -399,7 +414,7 @@
         }
     }
 
-    /// Whether the request can wait for capacity at a cold target and still meet the route's
+    /// Whether the request can wait for capacity at a target and still meet the route's
     /// latency aim.
     fn can_wait_for_room(&self, room_in: Duration) -> bool {
         let now = Instant::now();
@@ -411,9 +426,23 @@
         self.room_wait(room_in) < left
     }
 
+    fn no_room_reason(&self) -> &'static str {
+        let is_full = self.gw.capacity.rejection_limit(&self.service).is_some();
+        if is_full { "targets_full" } else { "cold" }
+    }
+
+    fn priority(&self) -> u8 {
+        let of_org = self.org.as_deref().and_then(|o| self.catalog.priority_of(o));
+        of_org.unwrap_or(self.route.priority)
+    }
+
     fn room_wait(&self, room_in: Duration) -> Duration {
-        let rank = self.org.as_deref().and_then(|o| self.catalog.priority_of(o));
-        room_in + COLD_WAIT_PER_RANK * u32::from(rank.unwrap_or(self.route.priority))
+        room_in + ROOM_WAIT_PER_RANK * u32::from(self.priority())
+    }
+
+    async fn wait_for_room(&self, room_in: Duration) {
+        let longest = self.room_wait(room_in);
+        self.gw.capacity.wait_for_room(&self.service, self.priority(), longest).await;
     }
 
     /// Whether a target of the version that began the stream may continue it, perhaps after a
@@ -475,7 +504,7 @@
                     RouterResponse::refusal("no_target_at_home", DEFAULT_RETRY_AFTER)
                 }
             })),
-            Placement::Cold { room_in } => Err(Unplaced::Cold { room_in }),
+            Placement::NoRoom { room_in } => Err(Unplaced::NoRoom { room_in }),
             Placement::BackingOff { retry_after } => {
                 Err(Unplaced::Refused(backoff_refusal(retry_after)))
             }
@@ -486,10 +515,12 @@
         }
     }
 
-    fn record_failed_send(&mut self, backend: &Backend, ended: SendOutcome, runs_before: u32) {
+    fn record_failed_send(&mut self, backend: &Rc<Backend>, ended: SendOutcome, runs_before: u32) {
         match ended {
             SendOutcome::NotSent => backend.record_unreachable(),
-            SendOutcome::NotRun => backend.record_rejection(),
+            SendOutcome::NotRun => {
+                backend.record_rejection(self.gw.capacity.record_rejection(backend));
+            }
             SendOutcome::OtherTarget => backend.record_unreachable(),
             SendOutcome::NoAnswer | SendOutcome::Silent | SendOutcome::Truncated => {
                 self.record_failure(backend)
--- a/src/gateway/load.rs
+++ b/src/gateway/load.rs
@@ -69,6 +69,8 @@
 #[derive(Debug)]
 pub(super) struct Load {
     pub(super) in_flight_requests: u32,
+    /// Requests in flight that were written to the target.
+    pub(super) sent_requests: u32,
     /// Prompts in the order in which this router sent them and, as far as they reported it, others
     /// did.
     pending_prefills: Vec<PendingPrefill>,
@@ -86,6 +88,7 @@
     pub(super) fn new(now: Instant) -> Load {
         Load {
             in_flight_requests: 0,
+            sent_requests: 0,
             pending_prefills: Vec::new(),
             next_number: 0,
             prefills_done_at: now,
--- a/src/gateway/members.rs
+++ b/src/gateway/members.rs
@@ -312,7 +312,9 @@
     // A process that has just started to read the table counts every row. After a long outage of
     // the store the rows of live routers are stale as well, and each router would own all targets.
     let all: Vec<&PeerRow> = others.iter().collect();
-    set_owners(gw, if reads.are_too_few() { &all } else { &live }, !own.is_empty());
+    let owners = owners(gw, if reads.are_too_few() { &all } else { &live }, !own.is_empty());
+    gw.capacity.set_routers(owners.clone(), addresses(&live));
+    gw.cold.set_owners(owners);
     let max_advertised_age_ms = reads.max_advertised_age_ms(page.now, gw.settings.unlisted_after);
     let advertised = live.iter().filter(|o| o.age_ms < max_advertised_age_ms);
     let advertised: Vec<RouterEntry> = advertised.map(|o| o.entry.as_router()).collect();
@@ -324,9 +326,9 @@
     OwnRow { ver, report }
 }
 
-/// Routers that are not leaving may own cold targets. This router is included once its own row was
+/// Routers that are not leaving may own targets to which requests are limited. This router is included once its own row was
 /// read, so that of two routers that start together at least one knows the other.
-fn set_owners<P: Platform>(gw: &Gateway<P>, known: &[&PeerRow], listed: bool) {
+fn owners<P: Platform>(gw: &Gateway<P>, known: &[&PeerRow], listed: bool) -> Vec<OwnerCandidate> {
     let s = &gw.settings;
     let staying = known.iter().filter(|o| !o.entry.leaving);
     let mut owners: Vec<OwnerCandidate> = staying.map(|o| o.as_owner()).collect();
@@ -338,7 +340,7 @@
             capacity: s.capacity,
         });
     }
-    gw.cold.set_owners(owners);
+    owners
 }
 
 /// Routers that are not leaving may lend budget to others.
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -8,8 +8,10 @@
 //! `send` perform the I/O.
 
 pub mod backend;
+pub mod capacity;
 pub mod catalog;
 pub mod cold;
+pub mod concurrency;
 pub mod connect;
 mod continuation;
 mod crash_attribution;
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -52,6 +52,9 @@
             Some((Topic::Cold, payload)) => {
                 gw.cold.handle_datagram(from, payload, |digest| cold_target(&gw, digest))
             }
+            Some((Topic::Capacity, payload)) => {
+                gw.capacity.handle_datagram(from, payload, &gw.targets)
+            }
             Some((Topic::Origins, payload)) => gw.origins.handle_datagram(from, payload),
             None => gw.log.note("peer", format_args!("from={from} bytes={n} error=unknown_topic")),
         }
--- a/src/gateway/place.rs
+++ b/src/gateway/place.rs
@@ -32,8 +32,8 @@
     pub backoff: Option<Duration>,
     /// Whether the request was already sent to this target.
     pub tried: bool,
-    /// For a cold target: the expected time until it has room for a request, as far as is known.
-    /// `None` for a target that is warm.
+    /// For a target to which requests are limited: the expected time until it has room for one, as
+    /// far as is known. `None` if it may have room now.
     pub room_in: Option<Duration>,
 }
 
@@ -130,8 +130,8 @@
     },
     /// No target is available.
     NoTarget,
-    /// All remaining targets are cold and have no room yet.
-    Cold {
+    /// All remaining targets are cold or full and have no room yet.
+    NoRoom {
         /// Time until the first of them has room.
         room_in: Duration,
     },
@@ -170,9 +170,9 @@
     let best = best(candidates, goal.engine, w, usable)
         .or_else(|| best(candidates, goal.engine, w, last_resort));
     let Some(index) = best else {
-        let cold = candidates.iter().filter(|c| c.is_eligible() && !c.has_room());
-        if let Some(room_in) = cold.filter_map(|c| c.room_in).min() {
-            return Placement::Cold { room_in };
+        let full = candidates.iter().filter(|c| c.is_eligible() && !c.has_room());
+        if let Some(room_in) = full.filter_map(|c| c.room_in).min() {
+            return Placement::NoRoom { room_in };
         }
         let backoff = candidates.iter().filter_map(|c| c.backoff);
         let backoff = backoff.min().map(|retry_after| Placement::BackingOff { retry_after });
--- a/src/gateway/refusal.rs
+++ b/src/gateway/refusal.rs
@@ -9,8 +9,8 @@
 /// Maximum retry delay while the time until there is room is unknown: a partition from the store
 /// can end at any moment.
 pub const MAX_RETRY_AFTER: Duration = Duration::from_secs(3);
-/// Jitter on the retry delay for cold targets, as a fraction of the delay.
-const COLD_JITTER: f64 = 1.0;
+/// Jitter on the retry delay for cold and full targets, as a fraction of the delay.
+const ROOM_JITTER: f64 = 1.0;
 /// Minimum retry delay while all targets are backing off. Other callers take the first free slots.
 const MIN_BACKOFF_RETRY_AFTER: Duration = Duration::from_millis(150);
 /// Maximum jitter on the retry delay while all targets are backing off.
@@ -51,11 +51,11 @@
     pub org: Option<CompactString>,
 }
 
-/// Refusal while all available targets are cold. Callers should retry once there is room, with
+/// Refusal while all available targets are cold or full. Callers should retry once there is room, with
 /// jitter so that they do not all return at once.
-pub fn cold_refusal(room_in: Duration) -> RouterResponse {
-    let after = room_in.mul_f64(1.0 + COLD_JITTER * fastrand::f64());
-    RouterResponse::refusal("cold", after.clamp(DEFAULT_RETRY_AFTER, MAX_RETRY_AFTER))
+pub fn no_room_refusal(reason: &'static str, room_in: Duration) -> RouterResponse {
+    let after = room_in.mul_f64(1.0 + ROOM_JITTER * fastrand::f64());
+    RouterResponse::refusal(reason, after.clamp(DEFAULT_RETRY_AFTER, MAX_RETRY_AFTER))
 }
 
 /// Refusal while all targets are backing off. Callers should retry once the first target accepts
--- a/src/gateway/send.rs
+++ b/src/gateway/send.rs
@@ -44,7 +44,7 @@
         self.tried.push(backend.id());
         self.current_target = Some(backend.clone());
         self.sent_at = Instant::now();
-        let in_flight = InFlight::begin(backend, plan, self.sent_at);
+        let mut in_flight = InFlight::begin(backend, plan, self.sent_at);
         let is_usable = |via, idle_since| {
             self.gw.path.is_usable(via, idle_since, |zone| self.allows_relay_zone(zone))
         };
@@ -68,7 +68,7 @@
             target_conn.return_to(&mut backend.pool.borrow_mut());
             return Err(held_off);
         }
-        in_flight.record_sent(&self.meta.parts);
+        in_flight.record_sent(&self.meta.parts, self.gw.capacity.ended.clone());
         let target = backend.id();
         let added = AddedHeaders {
             target: &target,
@@ -110,7 +110,7 @@
     ///
     /// # Errors
     /// `HeldOff`.
-    async fn check_before_send(&self, backend: &Backend) -> Result<(), SendOutcome> {
+    async fn check_before_send(&self, backend: &Rc<Backend>) -> Result<(), SendOutcome> {
         let (service, zone, id) = {
             let info = backend.info.borrow();
             (info.service.clone(), info.zone.clone(), info.id.clone())
@@ -138,6 +138,13 @@
                 }
             }
         }
+        // The last check that may wait: an admission is used at once.
+        if self.gw.capacity.rejection_limit(&service).is_some()
+            && let Err(room_in) = self.gw.capacity.admit(backend, &self.gw.targets).await
+        {
+            backend.set_no_room(room_in);
+            return Err(SendOutcome::HeldOff);
+        }
         let holds_off = backend.self_reported.is_unavailable(Instant::now());
         if self.gw.zones.is_emptied(&zone) || !backend.is_expected_to_stay() || holds_off {
             return Err(SendOutcome::HeldOff);
@@ -241,6 +248,8 @@
             return;
         };
         count_notice(&self.gw.stats, notice);
+        let service = backend.info.borrow().service.clone();
+        self.gw.capacity.record_answer(&service, notice.rejection_limit);
         let is_new = backend.self_reported.apply_notice(notice, Instant::now());
         if !is_new && notice.retry_after != Some(RetryAfter::Unreadable) {
             return;
--- a/src/gateway/start.rs
+++ b/src/gateway/start.rs
@@ -18,6 +18,8 @@
 ) -> Vec<JoinHandle<()>> {
     let socket = Rc::new(socket);
     gw.cold.set_socket(socket.clone());
+    gw.capacity.set_socket(socket.clone());
+    let capacity = gw.clone();
     let (zones, zones_socket) = (gw.clone(), socket.clone());
     let (hints, hints_socket) = (gw.clone(), socket.clone());
     gw.origins.set_socket(socket.clone());
@@ -33,6 +35,7 @@
         spawn_local(async move { hints.hints.run_sender(&hints_socket).await }),
         spawn_local(async move { crashes.crashes.broadcast(&crashes_socket).await }),
         spawn_local(async move { zones.zones.run_sender(&zones_socket).await }),
+        spawn_local(async move { capacity.capacity.run_sender(&capacity.targets).await }),
         spawn_local(async move { origins.origins.run_sender().await }),
         spawn_local(peers::send_budget_messages(gw.clone(), socket.clone())),
         spawn_local(peers::receive_datagrams(gw.clone(), socket)),
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -9,6 +9,7 @@
 use tokio::sync::{Notify, watch};
 
 use super::backend::TargetInfo;
+use super::capacity::CapacityAdmissions;
 use super::catalog::{Catalog, Limits};
 use super::cold::{AdmissionLimit, ColdRateLimit};
 use super::crashes::CrashTracker;
@@ -131,6 +132,8 @@
     pub zones: ZoneGossip,
     /// Admission of requests to cold targets.
     pub cold: Admissions,
+    /// Admission of requests to targets that crash when they reject too many.
+    pub capacity: CapacityAdmissions,
     /// Software versions that began resumable streams.
     pub origins: StreamOrigins,
     /// Shares of the organisations' budgets.
@@ -175,6 +178,12 @@
             zones: ZoneGossip::new(log.clone(), stats.clone()),
             path: TargetPath::new(settings.zone.clone()),
             cold: Admissions::new(settings.instance.clone(), log.clone(), stats.clone()),
+            capacity: CapacityAdmissions::new(
+                settings.instance.clone(),
+                settings.peer,
+                log.clone(),
+                stats.clone(),
+            ),
             origins: StreamOrigins::new(log.clone(), stats.clone()),
             reader: StoreReader::new(
                 platform.clone(),
--- a/src/gateway/targets.rs
+++ b/src/gateway/targets.rs
@@ -3,7 +3,6 @@
 use std::cell::RefCell;
 use std::collections::VecDeque;
 use std::rc::Rc;
-use std::time::Duration;
 
 use compact_str::CompactString;
 use tokio::time::Instant;
@@ -240,6 +239,12 @@
         self.all.borrow().iter().find(|b| b.id_digest == digest).cloned()
     }
 
+    /// The targets of a service.
+    pub fn of_service(&self, service: &str) -> Vec<Rc<Backend>> {
+        let all = self.all.borrow();
+        all.iter().filter(|b| b.info.borrow().service == service).cloned().collect()
+    }
+
     /// A target of this software version, which may be leaving.
     pub fn of_version(&self, version: VersionDigest) -> Option<Rc<Backend>> {
         self.all.borrow().iter().find(|b| b.version() == Some(version)).cloned()
@@ -324,9 +329,7 @@
         unhealthy: b.entry_lapsed.get() || load.unhealthy_until.is_some_and(|t| t > now),
         backoff: b.self_reported.backoff_left(now),
         tried: req.tried.contains(&info.id),
-        room_in: b.is_cold(now).then(|| {
-            b.no_room_until.get().map_or(Duration::ZERO, |t| t.saturating_duration_since(now))
-        }),
+        room_in: b.room_in(now),
     }
 }
 
--- a/src/gateway/warmup.rs
+++ b/src/gateway/warmup.rs
@@ -85,7 +85,7 @@
 
     /// Name of the router that admits requests to a target while it is cold.
     pub fn owner_of(&self, target: &str, zone: &str) -> Option<CompactString> {
-        pick_owner(&self.owners.borrow(), target, zone).map(|o| o.instance.clone())
+        pick_owner(&self.owners.borrow(), target, zone).map(|o| o.instance)
     }
 
     /// Admits one request of this router to a cold target. The request must be sent within
@@ -99,7 +99,7 @@
         zone: &str,
         limit: AdmissionLimit,
     ) -> Result<(), Duration> {
-        let owner = pick_owner(&self.owners.borrow(), target, zone).cloned();
+        let owner = pick_owner(&self.owners.borrow(), target, zone);
         let outcome = match &owner {
             Some(o) if o.instance == self.local_instance => {
                 self.admit_locally(target_digest(target), limit)
--- a/src/stats.rs
+++ b/src/stats.rs
@@ -55,6 +55,9 @@
     pub store_read_bytes: Family<ReasonLabel, Counter>,
     /// Admission decisions for requests to cold targets: `admitted` or `held_off`.
     pub cold_admissions: Family<ReasonLabel, Counter>,
+    /// Admission decisions for requests to targets that rejections endanger: `admitted` or
+    /// `held_off` by the owner; `share` or `share_used` without one.
+    pub capacity_admissions: Family<ReasonLabel, Counter>,
     /// Notices that targets sent in response headers, by kind.
     pub target_notices: Family<ReasonLabel, Counter>,
     /// Streams that callers resumed, by what became known of their origin.
@@ -67,6 +70,8 @@
     pub targets_backing_off: Gauge,
     /// Targets that are in their warm-up.
     pub targets_cold: Gauge,
+    /// Services whose targets crash when they reject too many requests.
+    pub services_with_rejection_limit: Gauge,
     /// Availability zones that get no new requests, by order of the operator.
     pub zones_emptied: Gauge,
     /// Time from a request's arrival to the first event of its stream, in seconds.
@@ -196,6 +201,18 @@
             "Targets that refused a request and are in their backoff",
             targets_backing_off.clone(),
         );
+        let capacity_admissions = Family::default();
+        registry.register(
+            "capacity_admissions",
+            "Admission decisions for requests to targets that rejections endanger",
+            capacity_admissions.clone(),
+        );
+        let services_with_rejection_limit = Gauge::default();
+        registry.register(
+            "services_with_rejection_limit",
+            "Services whose targets crash when they reject too many requests",
+            services_with_rejection_limit.clone(),
+        );
         let targets_cold = Gauge::default();
         registry.register("targets_cold", "Targets in their warm-up", targets_cold.clone());
         let zones_emptied = Gauge::default();
@@ -262,6 +279,8 @@
             accepted_connections,
             store_read_bytes,
             cold_admissions,
+            capacity_admissions,
+            services_with_rejection_limit,
             target_notices,
             resumptions,
             stream_origins_dropped,
--- a/tests/test_gateway_cold.rs
+++ b/tests/test_gateway_cold.rs
@@ -106,7 +106,7 @@
 fn place_all_targets_cold() {
     // Guards against refusals that don't state when the next request can be admitted.
     let placement = place(&candidates(&[Some(70), Some(30)]), &GOAL, &PlacementWeights::default());
-    assert_eq!(placement, Placement::Cold { room_in: Duration::from_millis(30) });
+    assert_eq!(placement, Placement::NoRoom { room_in: Duration::from_millis(30) });
 }
 
 const GOAL: PlacementGoal = PlacementGoal {
--- a/tests/test_gateway_overload.rs
+++ b/tests/test_gateway_overload.rs
@@ -1,9 +1,13 @@
 //! Targets that crash when they reject too many requests for want of capacity.
 
 use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
+use futures_util::future::join_all;
+use kingcupwall::gateway::concurrency::{RequestReport, TargetLimiter, pause_after_rejection};
+use kingcupwall::gateway::notice::RejectionLimit;
 use kingcupwall::standin::gateway::{LocalPlatform, catalog_parts};
 use kingcupwall::standin::gateway_host::GatewayHost;
 use kingcupwall::standin::gateway_target::StandinTarget;
@@ -101,7 +105,7 @@
 }
 
 /// Sends a request, and once more when the router asks for it.
-async fn call(front: std::net::SocketAddr, id: String, outcome: Rc<Outcome>) {
+async fn call(front: SocketAddr, id: String, outcome: Rc<Outcome>) {
     add(&outcome.sent);
     let got = Call::get(&format!("/once/{id}")).id(&id).send(front).await;
     let retry_after = got.header("Retry-After").and_then(|s| s.parse().ok());
@@ -184,3 +188,128 @@
         assert!(outcome.crashes.get() <= 1, "{outcome:?}");
     });
 }
+
+fn addr(router: u16) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], router))
+}
+
+fn report(number: u64, sent: u32) -> RequestReport {
+    RequestReport { number, sent, ..RequestReport::default() }
+}
+
+/// A limiter for six slots, at which one router has all of its `sent` requests.
+fn limiter(sent: u32, now: Instant) -> TargetLimiter {
+    let mut limiter = TargetLimiter::new(6, false, now);
+    limiter.report(addr(1), &report(1, sent), now);
+    limiter
+}
+
+#[test]
+fn admit_up_to_slots_of_all_routers() {
+    let now = Instant::now();
+    let mut limiter = limiter(4, now);
+    limiter.report(addr(2), &report(1, 0), now);
+    assert_eq!(limiter.admit(addr(2), 7, now), Ok(()));
+    assert_eq!(limiter.admit(addr(1), 8, now), Ok(()));
+    assert!(limiter.admit(addr(2), 9, now).is_err());
+    // The first admitted request was sent, the second one came too late.
+    limiter.report(addr(2), &report(2, 1), now);
+    limiter.report(addr(1), &report(2, 4), now);
+    assert_eq!(limiter.requests(), 5);
+}
+
+#[test]
+fn admit_counts_admission_until_its_query_is_closed() {
+    let now = Instant::now();
+    let mut limiter = limiter(0, now);
+    limiter.admit(addr(1), 7, now).unwrap();
+    let open = RequestReport { open: vec![7], ..report(2, 0) };
+    limiter.report(addr(1), &open, now);
+    assert_eq!(limiter.requests(), 1);
+    limiter.report(addr(1), &report(3, 0), now);
+    assert_eq!(limiter.requests(), 0);
+}
+
+#[test]
+fn report_ignores_older_one() {
+    let now = Instant::now();
+    let mut limiter = limiter(3, now);
+    limiter.report(addr(1), &report(5, 1), now);
+    limiter.report(addr(1), &report(4, 3), now);
+    assert_eq!(limiter.requests(), 1);
+}
+
+/// Guards against requests of a dead router that count forever.
+#[test]
+fn report_of_silent_router_expires() {
+    let now = Instant::now();
+    let mut limiter = limiter(6, now);
+    let later = now + Duration::from_secs(3);
+    limiter.report(addr(2), &report(1, 0), later);
+    assert_eq!(limiter.admit(addr(2), 7, later), Ok(()));
+}
+
+#[test]
+fn admit_half_after_takeover() {
+    let now = Instant::now();
+    let mut limiter = TargetLimiter::new(6, true, now);
+    limiter.report(addr(1), &report(1, 3), now);
+    assert!(limiter.admit(addr(1), 7, now).is_err());
+    let later = now + Duration::from_secs(3);
+    limiter.report(addr(1), &report(2, 3), later);
+    assert_eq!(limiter.admit(addr(1), 8, later), Ok(()));
+}
+
+/// Guards against a target that is rejected again at the number at which it rejected before.
+#[test]
+fn admit_below_number_of_last_rejection() {
+    let now = Instant::now();
+    let mut limiter = limiter(4, now);
+    let pause = limiter.record_rejection(RejectionLimit::PerSecond(1), now);
+    assert_eq!(pause, Duration::from_secs(1));
+    let at = |s| now + Duration::from_secs(s);
+    assert_eq!(limiter.admit(addr(1), 7, now), Err(pause));
+    limiter.report(addr(1), &report(2, 4), at(2));
+    assert!(limiter.admit(addr(1), 8, at(2)).is_err());
+    // It may have become larger after a while.
+    limiter.report(addr(1), &report(3, 4), at(10));
+    assert_eq!(limiter.admit(addr(1), 9, at(10)), Ok(()));
+}
+
+#[rstest]
+#[case::none(RejectionLimit::PerSecond(0), 1_000)]
+#[case::unreadable(RejectionLimit::Unreadable, 1_000)]
+#[case::one(RejectionLimit::PerSecond(1), 1_000)]
+#[case::three(RejectionLimit::PerSecond(3), 500)]
+#[case::many(RejectionLimit::PerSecond(u32::MAX), 120)]
+fn pause_after_rejection_within_limit(#[case] limit: RejectionLimit, #[case] expected_ms: u64) {
+    assert_eq!(pause_after_rejection(limit), Duration::from_millis(expected_ms));
+}
+
+#[test]
+fn routers_to_tell_in_turn() {
+    let now = Instant::now();
+    let mut limiter = TargetLimiter::new(2, false, now);
+    let waiting = |n| RequestReport { waiting: 2, ..report(n, 0) };
+    (1..=3).for_each(|r| limiter.report(addr(r), &waiting(1), now));
+    assert_eq!(limiter.routers_to_tell(now), [addr(1), addr(2)]);
+    assert_eq!(limiter.routers_to_tell(now), [addr(3), addr(1)]);
+    limiter.record_rejection(RejectionLimit::PerSecond(3), now);
+    assert!(limiter.routers_to_tell(now).is_empty());
+}
+
+/// Guards against a limit that refuses requests for which the targets have room: at least 85% of
+/// what the same targets serve if rejections do not crash them.
+#[rstest]
+#[case::skewed(Load { routers: 6, zones: THREE_ZONES, utilization: 0.6, skewed_to: Some("zone-3"), burst: 1 }, 3)]
+#[case::overload(Load { routers: 6, zones: THREE_ZONES, utilization: 1.3, skewed_to: None, burst: 1 }, 10)]
+#[case::bursts(Load { routers: 20, zones: FIVE_TARGETS, utilization: 0.5, skewed_to: None, burst: 12 }, 3)]
+fn rejection_limit_keeps_throughput(#[case] load: Load, #[case] rejection_limit: u32) {
+    run_local(async move {
+        let limits = [None, Some(rejection_limit)];
+        let [reference, outcome] =
+            <[_; 2]>::try_from(join_all(limits.map(|l| run(&load, l))).await).unwrap();
+        let least = 0.85 * reference.served.get() as f64;
+        assert!(outcome.served.get() as f64 >= least, "{outcome:?}, without a limit {reference:?}");
+    });
+}
--- a/tests/test_gateway_targets.rs
+++ b/tests/test_gateway_targets.rs
@@ -112,8 +112,8 @@
     let targets = Targets::default();
     targets.set(entry(Some(5), READY));
     let before = only(&targets);
-    let flight = InFlight::begin(&before, &plan(), Instant::now());
-    flight.record_sent(&PARTS);
+    let mut flight = InFlight::begin(&before, &plan(), Instant::now());
+    flight.record_sent(&PARTS, Rc::default());
     before.record_failure();
     before.record_failure();
     let seen = targets.candidates(&request()).candidates.remove(0).1;
