Experiment: four ways to limit requests to targets that rejections endanger

Compares, on the same seeds, a pause at the rejecting router, a pause told to all, a share of the slots for each router, and the owner that was built, with 6, 20 and 79 routers.

Tests: the owner in simulated fleets of 6, 20 and 79 routers on five seeds, no crash and at least 85% of what targets without the danger serve; routers that die, start or hear late, and the store away, on sockets.

--- a/src/cmd/experiment.rs
+++ b/src/cmd/experiment.rs
@@ -6,10 +6,10 @@
 use serde::Serialize;
 
 use crate::error::Result;
-use crate::experiment::{budget, capacity, cold_start, origins, overhead, quarantine};
+use crate::experiment::{budget, capacity, cold_start, origins, overhead, overload, quarantine};
 
 /// Measure design alternatives: budget in virtual time with in-memory stand-ins, cold-start,
-/// origins and quarantine in a simulation, the others in real time
+/// origins, overload and quarantine in a simulation, the others in real time
 ///
 /// Example: kingcupwall experiment budget --json
 #[derive(Clone, Debug)]
@@ -30,7 +30,7 @@
     plot: Option<PathBuf>,
     /// Print one JSON object per cell
     json: bool,
-    /// Experiment: budget, capacity, cold-start, origins, overhead or quarantine
+    /// Experiment: budget, capacity, cold-start, origins, overhead, overload or quarantine
     #[bpaf(positional("NAME"))]
     name: Name,
 }
@@ -42,6 +42,7 @@
     ColdStart,
     Origins,
     Overhead,
+    Overload,
     Quarantine,
 }
 
@@ -55,9 +56,10 @@
             "cold-start" => Ok(Name::ColdStart),
             "origins" => Ok(Name::Origins),
             "overhead" => Ok(Name::Overhead),
+            "overload" => Ok(Name::Overload),
             "quarantine" => Ok(Name::Quarantine),
             other => Err(format!(
-                "unknown experiment {other:?}; must be budget, capacity, cold-start, origins, overhead or quarantine"
+                "unknown experiment {other:?}; must be budget, capacity, cold-start, origins, overhead, overload or quarantine"
             )),
         }
     }
@@ -103,6 +105,10 @@
             args.print_row(&overhead::run(args.requests).await?);
             Ok(())
         }),
+        Name::Overload => {
+            overload::run(args.seed, &args.only, |c| args.print_row(c));
+            Ok(())
+        }
         Name::Quarantine => {
             quarantine::run(args.seed, &args.only, |c| args.print_row(c));
             Ok(())
--- a/src/experiment/mod.rs
+++ b/src/experiment/mod.rs
@@ -5,5 +5,6 @@
 pub mod cold_start;
 pub mod origins;
 pub mod overhead;
+pub mod overload;
 mod plot;
 pub mod quarantine;
--- a/tests/test_gateway_overload.rs
+++ b/tests/test_gateway_overload.rs
@@ -6,8 +6,10 @@
 use std::time::Duration;
 
 use futures_util::future::join_all;
+use kingcupwall::experiment::overload::{Policy, Workload, simulate};
 use kingcupwall::gateway::concurrency::{RequestReport, TargetLimiter, pause_after_rejection};
 use kingcupwall::gateway::notice::RejectionLimit;
+use kingcupwall::rows::Fault;
 use kingcupwall::standin::gateway::{LocalPlatform, catalog_parts};
 use kingcupwall::standin::gateway_host::GatewayHost;
 use kingcupwall::standin::gateway_target::StandinTarget;
@@ -121,8 +123,27 @@
     }
 }
 
+/// What happens to routers while the queues are short.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Trouble {
+    None,
+    /// So many routers end without a notice. Their rows stay until they are stale.
+    RoutersDie(usize),
+    /// The store answers none of the routers.
+    StoreAway,
+    /// So many routers start, and get requests as soon as they are ready.
+    RoutersStart(usize),
+    /// So many routers hear nothing of the announcement until the trouble begins, since they get no
+    /// requests.
+    RoutersIdle(usize),
+}
+
 /// Runs the load against targets that can reject `rejection_limit` requests per second.
 async fn run(load: &Load, rejection_limit: Option<u32>) -> Rc<Outcome> {
+    run_with(load, rejection_limit, Trouble::None).await
+}
+
+async fn run_with(load: &Load, rejection_limit: Option<u32>, trouble: Trouble) -> Rc<Outcome> {
     let platform = LocalPlatform::new();
     platform.configure(catalog_parts(1, 1_000_000));
     let service = Rc::new(Service {
@@ -150,11 +171,34 @@
     service.announce(rejection_limit);
     let mut rng = fastrand::Rng::with_seed(7);
     let mut n = 0_u32;
+    let mut trouble_due = Some(start + NOTICE_TIME + LOAD_TIME / 4);
+    let mut idle = match trouble {
+        Trouble::RoutersIdle(n) => routers.split_off(routers.len() - n),
+        _ => Vec::new(),
+    };
     while start.elapsed() < NOTICE_TIME + LOAD_TIME {
         let queue = if start.elapsed() < NOTICE_TIME { USUAL_QUEUE } else { SHORT_QUEUE };
         if service.queue.get() != queue {
             service.set_queue(queue);
         }
+        if trouble_due.is_some_and(|due| due <= Instant::now()) {
+            trouble_due = None;
+            match trouble {
+                Trouble::None => (),
+                Trouble::RoutersIdle(_) => routers.append(&mut idle),
+                Trouble::RoutersDie(n) => routers.drain(..n).for_each(|(_, r)| r.kill()),
+                Trouble::StoreAway => {
+                    routers.iter().for_each(|(_, r)| r.platform.rows.set_fault(Fault::Silent));
+                }
+                Trouble::RoutersStart(n) => {
+                    for n in 0..n {
+                        let name = format!("new{n}");
+                        let router = GatewayHost::start(&platform, &name, "zone-1", 1).await;
+                        routers.push(("zone-1".to_owned(), router.unwrap()));
+                    }
+                }
+            }
+        }
         for i in 0..load.burst {
             let skewed = load.skewed_to.filter(|_| rng.f64() < 0.7);
             let allowed: Vec<_> =
@@ -189,6 +233,43 @@
     });
 }
 
+/// Guards against an owner that lets targets crash, or serves less than the targets bear, in fleets
+/// larger than can be run here: crashes, and served requests against targets that do not crash.
+#[rstest]
+#[case::few(6)]
+#[case::several(20)]
+#[case::many(79)]
+fn owner_in_simulated_fleet(
+    #[case] routers: usize,
+    #[values(Workload::Even, Workload::Skewed, Workload::Overload)] workload: Workload,
+    #[values(1, 10)] rejection_limit: u32,
+) {
+    for seed in 1..=5 {
+        let reference = simulate(Policy::PauseAlone, workload, routers, None, seed);
+        let cell = simulate(Policy::Owner, workload, routers, Some(rejection_limit), seed);
+        assert!(cell.crashes <= 1, "{cell:?}");
+        assert!(cell.served as f64 >= 0.85 * reference.served as f64, "{cell:?} {reference:?}");
+    }
+}
+
+const BUSY: Load =
+    Load { routers: 12, zones: FIVE_TARGETS, utilization: 0.7, skewed_to: None, burst: 4 };
+
+/// Guards against targets that crash while the routers that admit their requests change or are out
+/// of reach.
+#[rstest]
+#[case::routers_die(Trouble::RoutersDie(4))]
+#[case::store_away(Trouble::StoreAway)]
+#[case::routers_start(Trouble::RoutersStart(4))]
+#[case::routers_hear_late(Trouble::RoutersIdle(6))]
+fn rejections_crash_no_targets_in_trouble(#[case] trouble: Trouble) {
+    run_local(async move {
+        let outcome = run_with(&BUSY, Some(2), trouble).await;
+        assert!(outcome.crashes.get() <= 1, "{trouble:?} {outcome:?}");
+        assert!(outcome.served.get() * 10 >= outcome.sent.get() * 7, "{trouble:?} {outcome:?}");
+    });
+}
+
 fn addr(router: u16) -> SocketAddr {
     SocketAddr::from(([127, 0, 0, 1], router))
 }
