Crashes: log the prompt parts that an interrupted request may share

It now names the ids of all parts but the last, which belongs to the request. No decision uses them.

--- a/src/gateway/crash_attribution.rs
+++ b/src/gateway/crash_attribution.rs
@@ -15,6 +15,7 @@
 use super::quarantine::{Completion, Crash};
 use super::refusal::RouterResponse;
 use super::state::{Gateway, Platform};
+use super::targets::shareable_parts;
 use crate::rows::StoreMs;
 
 /// How long a request still counts as running on its target after its caller has disconnected. The
@@ -90,6 +91,7 @@
             id: self.meta.id.clone(),
             org: self.org.clone(),
             request: self.fingerprint(),
+            parts: shareable_parts(&self.meta.parts).iter().map(|p| p.id).collect(),
             sent: self.sent_at,
         }
     }
@@ -111,6 +113,8 @@
     id: CompactString,
     org: Option<CompactString>,
     request: Fingerprint,
+    /// Ids of the prompt parts that other requests may share.
+    parts: Vec<u64>,
     sent: Instant,
 }
 
@@ -128,8 +132,9 @@
         gw.log.note(
             "target_ended",
             format_args!(
-                "id={id} request={request} org={org} target={} ran_ms={ran_ms} ended={ended}",
-                backend.id()
+                "id={id} request={request} org={org} target={} parts={:x?} ran_ms={ran_ms} ended={ended}",
+                backend.id(),
+                self.parts
             ),
         );
     }
--- a/src/gateway/targets.rs
+++ b/src/gateway/targets.rs
@@ -334,7 +334,7 @@
 }
 
 /// The parts that other requests may share: all but the last, which is specific to the request.
-fn shareable_parts(parts: &[PromptPart]) -> &[PromptPart] {
+pub(super) fn shareable_parts(parts: &[PromptPart]) -> &[PromptPart] {
     parts.split_last().map_or(parts, |(_, shared)| shared)
 }
 
