--- a/src/standin/gateway_target.rs
+++ b/src/standin/gateway_target.rs
@@ -124,6 +124,7 @@
     version: CompactString,
     arrivals: Vec<Arrival>,
     places: Places,
+    fatal_part: Option<u64>,
 }
 
 /// A target with its own port. Clones share its state.
@@ -234,6 +235,20 @@
         self.shared.borrow_mut().reject_all = retry_after;
     }
 
+    /// Crashes the target when it begins to answer a request whose prompt has this part, unless it
+    /// is the last one.
+    pub fn set_fatal_part(&self, part: Option<u64>) {
+        self.shared.borrow_mut().fatal_part = part;
+    }
+
+    fn has_fatal_part(&self, head: &RequestHead) -> bool {
+        let Some(fatal) = self.shared.borrow().fatal_part else { return false };
+        let parts = header(&head.headers, &self.names.headers.prompt_parts).unwrap_or_default();
+        let mut ids: Vec<_> = parts.split(',').filter_map(|p| p.split_once(':')).collect();
+        ids.pop();
+        ids.iter().any(|(id, _)| u64::from_str_radix(id.trim(), 16) == Ok(fatal))
+    }
+
     /// Limits how many requests the target runs and queues at once; no limit with `None`.
     pub fn set_capacity(&self, capacity: Option<Capacity>) {
         self.shared.borrow().places.set_capacity(capacity);
@@ -361,7 +376,7 @@
             body,
             at: Instant::now(),
         };
-        let is_fatal = request.body == FATAL_BODY;
+        let is_fatal = request.body == FATAL_BODY || self.has_fatal_part(head);
         self.shared.borrow_mut().runs.push(request);
         let _slot = tokio::select! {
             slot = place.run() => slot,
--- a/tests/test_gateway_fatal.rs
+++ b/tests/test_gateway_fatal.rs
@@ -454,3 +454,50 @@
     liveness.connect_failed(&std::io::ErrorKind::ConnectionRefused.into());
     assert!(liveness.has_ended());
 }
+
+/// The part that crashes targets, and the one before it, which sound requests share.
+const FATAL_PART: u64 = 0xbad;
+const SHARED_PART: u64 = 0xf00d;
+
+/// Position of the fatal part among those that several requests have.
+#[derive(Clone, Copy, Debug)]
+enum Position {
+    First,
+    Last,
+}
+
+/// A request with fresh content. `part` follows or precedes the shared part.
+fn call_with_part(n: usize, part: u64, position: Position) -> Call {
+    let parts = match position {
+        Position::First => format!("{part:x}:50,{SHARED_PART:x}:50"),
+        Position::Last => format!("{SHARED_PART:x}:50,{part:x}:50"),
+    };
+    Call::get(&format!("/resumable/p{n}"))
+        .id(&format!("p{n}"))
+        .with_header(&format!("Prompt-Parts: {parts},{:x}:10", 0x1000_0000 + n))
+        .body(&format!("prompt {n}"))
+        .tokens(110, 4)
+}
+
+/// Guards against targets that crash one after the other because each request with the fatal prompt
+/// part differs from those before it.
+#[rstest]
+#[case::first(Position::First)]
+#[case::last(Position::Last)]
+fn fatal_part_in_different_requests(#[case] position: Position) {
+    run_local(async move {
+        let fleet = Fleet::start().await;
+        fleet.targets.iter().for_each(|t| t.set_fatal_part(Some(FATAL_PART)));
+        let mut served = 0;
+        for n in 0..30 {
+            let router = &fleet.routers[n % 2];
+            call_with_part(2 * n, FATAL_PART, position).send(router.front).await;
+            // Every other part is specific to one of ten callers.
+            let sound = call_with_part(2 * n + 1, n as u64 % 10, position);
+            let got = sound.send(router.front).await;
+            served += usize::from(got.status() == 200 && got.is_complete);
+        }
+        assert!(fleet.ended() <= MAX_ENDED_TARGETS, "{} targets crashed", fleet.ended());
+        assert!(served >= 25, "{served} of 30 sound requests were served");
+    });
+}
