Quarantine prompt parts that crash targets, whatever request contains them

Cause: a request was recognised by organisation, path and body. Requests that share nothing but a fatal prompt part each began at no crash. Class: the suspect of a failure is identified by more than what causes it.

Ruled out: lost or late reports (each router quarantines a request as soon as it has three crashes).

Change: a crash is also recorded for each part, but the last, of the requests that had no event by then; the first event or a successful answer of any request with a part clears it. Parts use the records, datagrams and rows of requests. Of causes that explain the same crashes, the most specific one is refused: a request before its parts, a later part before an earlier one, unless the earlier part explains further crashes. The check is repeated right before each send, since a request may have waited meanwhile. A part is refused for ten minutes, not for an hour, because nothing can clear it meanwhile.

Why it holds: with a fatal part no answer begins, so nothing clears it, while the parts that sound requests share are cleared within a request or two. It is refused after three crashes, or after five if something else ran on the same targets each time, whichever callers and routers send it.

Reports without the new field count as requests'.

--- a/src/experiment/quarantine.rs
+++ b/src/experiment/quarantine.rs
@@ -7,7 +7,9 @@
 use serde::Serialize;
 
 use crate::gateway::fingerprint::Fingerprint;
-use crate::gateway::quarantine::{Completion, Crash, CrashReport, Incarnation, Quarantine, Source};
+use crate::gateway::quarantine::{
+    Cause, Completion, Crash, CrashReport, Incarnation, Quarantine, Source,
+};
 use crate::rows::StoreMs;
 
 /// Time step of the simulation, in milliseconds.
@@ -239,6 +241,7 @@
                 target: Incarnation(self.targets[run.target].incarnation),
                 began: StoreMs(run.began),
                 at: StoreMs(now),
+                cause: Cause::Request,
             };
             self.routers[run.router].record_crash(crash, Source::Own);
             let row = &mut self.rows[run.router];
--- a/src/gateway/fingerprint.rs
+++ b/src/gateway/fingerprint.rs
@@ -32,6 +32,13 @@
         bytes.extend_from_slice(body);
         Fingerprint(Digest::of(&bytes).first_u64())
     }
+
+    /// Computes the fingerprint of a prompt part at targets of `service`. It is the same for all
+    /// organisations, because the part crashes targets whoever sends it.
+    pub fn of_part(service: &str, part: u64) -> Fingerprint {
+        let bytes = [b"part\0", service.as_bytes(), b"\0", &part.to_le_bytes()].concat();
+        Fingerprint(Digest::of(&bytes).first_u64())
+    }
 }
 
 impl fmt::Display for Fingerprint {
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -98,6 +98,8 @@
     pub sent_at: Instant,
     /// The software version that began the stream, once the caller has an event of it.
     pub(super) version: Option<VersionDigest>,
+    /// Whether the caller's stream has had an event, or a target has answered.
+    pub(super) answer_began: bool,
     /// Computed on first use by `Job::fingerprint`.
     pub(super) fingerprint: OnceCell<Fingerprint>,
 }
@@ -195,6 +197,7 @@
             via: None,
             sent_at: started,
             version: None,
+            answer_began: false,
             fingerprint: OnceCell::new(),
         };
         // The quarantine check comes first, so that a quarantined request neither reserves budget
--- a/src/gateway/quarantine.rs
+++ b/src/gateway/quarantine.rs
@@ -11,6 +11,14 @@
 //! A request that is retried together with the cause may run on the same targets each time. While
 //! another request was running on all targets that ended under a request, either may be the cause,
 //! and the next crash shows which: it ends one of them only.
+//!
+//! A part of a prompt may crash targets as well, whatever request contains it. Parts are tracked like
+//! requests: a crash is recorded for each part of the requests that had not been answered at all
+//! by then, and the first event of any answer to a request with the part shows that it is not the
+//! cause. Of several causes that explain the same crashes the most specific one is quarantined: a
+//! request before its parts, and a part before those that precede it, which more requests share.
+
+use std::fmt;
 
 use serde::{Deserialize, Serialize};
 
@@ -32,6 +40,10 @@
 /// How long a request stays quarantined after its latest crash, in milliseconds. The defect may be
 /// fixed by then; if it is not, the request can crash as many targets again.
 pub const QUARANTINE_MS: u64 = 3_600_000;
+/// How long a prompt part stays quarantined after its latest crash, in milliseconds. Shorter than
+/// for a request: other requests with the part are refused as well, and nothing can show during the
+/// quarantine that the part is not the cause.
+pub const PART_QUARANTINE_MS: u64 = 600_000;
 /// How long the crashes of a request that is not quarantined are kept, in milliseconds. A request
 /// that crashes targets but is retried less often than this ends hardly more targets than unrelated
 /// failures do.
@@ -56,6 +68,28 @@
 #[serde(transparent)]
 pub struct Incarnation(pub u64);
 
+/// What may have crashed a target, from the least to the most specific.
+#[derive(Clone, Copy, Debug, Default, Eq, Ord, PartialEq, PartialOrd)]
+#[derive(Deserialize, Serialize)]
+pub enum Cause {
+    /// The part of the prompt at this position, in any request that contains it.
+    #[serde(rename = "p")]
+    Part(u16),
+    /// The content of one request.
+    #[default]
+    #[serde(rename = "r")]
+    Request,
+}
+
+impl fmt::Display for Cause {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Cause::Part(position) => write!(f, "part_{position}"),
+            Cause::Request => f.write_str("request"),
+        }
+    }
+}
+
 /// A target's process ended while the target was running a request.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 #[derive(Deserialize, Serialize)]
@@ -73,6 +107,9 @@
     /// When the end of the process was detected, in store time.
     #[serde(rename = "a")]
     pub at: StoreMs,
+    /// What `request` identifies.
+    #[serde(default, rename = "k")]
+    pub cause: Cause,
 }
 
 /// A request for which crashes were recorded has received a complete answer.
@@ -136,6 +173,11 @@
             && self.sequential_crashes() >= SEQUENTIAL_CRASHES_TO_QUARANTINE
     }
 
+    /// What the record is about. A part may stand at several positions; the last one counts.
+    fn cause(&self) -> Cause {
+        self.crashes.iter().map(|c| c.observed.cause).max().unwrap_or_default()
+    }
+
     /// Whether this request was running on all targets that ended while running `other`.
     fn shares_crashes_of(&self, other: &Record) -> bool {
         let ran_on = |target| self.crashes.iter().any(|c| c.observed.target == target);
@@ -161,7 +203,11 @@
 
     /// The store time from which the record no longer counts.
     fn expires_at(&self) -> StoreMs {
-        let ms = if self.is_suspect() { QUARANTINE_MS } else { CRASH_RETENTION_MS };
+        let ms = match self.cause() {
+            _ if !self.is_suspect() => CRASH_RETENTION_MS,
+            Cause::Request => QUARANTINE_MS,
+            Cause::Part(_) => PART_QUARANTINE_MS,
+        };
         StoreMs(self.latest_event_at().0.saturating_add(ms))
     }
 
@@ -206,6 +252,9 @@
             if source == Source::Own {
                 known.source = Source::Own;
             }
+            // Several requests with the same part ran on the target. The latest one shows whether it
+            // received the part after an earlier crash.
+            known.observed.began = known.observed.began.max(crash.began);
             return false;
         }
         record.crashes.push(Observation { observed: crash, source });
@@ -259,9 +308,23 @@
     }
 
     fn is_quarantined(&self, record: &Record) -> bool {
-        record.is_suspect()
-            && (record.crashes.len() >= MAX_SHARED_CRASHES
-                || !self.tracked.iter().any(|r| r.shares_crashes_of(record)))
+        if !record.is_suspect() {
+            return false;
+        }
+        let mut others = self.tracked.iter().filter(|r| r.shares_crashes_of(record));
+        let cause = record.cause();
+        // A more specific cause explains these crashes, however many there are; a less specific one
+        // explains them if it also explains others.
+        let explains = |r: &Record| match r.cause() {
+            Cause::Part(_) if r.cause() < cause => {
+                r.is_suspect() && r.crashes.len() > record.crashes.len()
+            }
+            other => other > cause,
+        };
+        if cause != Cause::Request && others.clone().any(explains) {
+            return false;
+        }
+        record.crashes.len() >= MAX_SHARED_CRASHES || !others.any(|r| r.cause() >= cause)
     }
 
     /// Removes the records that have expired by `now`.
--- a/src/gateway/send.rs
+++ b/src/gateway/send.rs
@@ -146,6 +146,10 @@
             return Err(SendOutcome::HeldOff);
         }
         let holds_off = backend.self_reported.is_unavailable(Instant::now());
+        // It may have become known during the waits above.
+        if self.is_quarantined() {
+            return Err(SendOutcome::HeldOff);
+        }
         if self.gw.zones.is_emptied(&zone) || !backend.is_expected_to_stay() || holds_off {
             return Err(SendOutcome::HeldOff);
         }
@@ -285,6 +289,10 @@
             buffer_answer(&mut remaining).await?
         };
         in_flight.backend().record_answer();
+        // A failure shows nothing about the prompt: it may not have been read.
+        if (200..300).contains(&head.status) && (!is_stream || has_events(&remaining)) {
+            self.record_answer_began();
+        }
         let remaining = if remaining.body.is_done() && !is_stream {
             in_flight.backend().pool.borrow_mut().put(remaining.conn, via, &head);
             None
@@ -339,6 +347,10 @@
     }
 }
 
+fn has_events(body: &RemainingBody) -> bool {
+    body.stream.as_ref().is_some_and(|s| s.events > 0)
+}
+
 /// Reads a plain answer up to [`MAX_BUFFERED_ANSWER_BYTES`], completely if it is shorter.
 async fn buffer_answer(remaining: &mut RemainingBody) -> Result<Bytes, SendOutcome> {
     let mut first_bytes = BytesMut::new();
--- a/tests/test_gateway_quarantine.rs
+++ b/tests/test_gateway_quarantine.rs
@@ -3,8 +3,8 @@
 use kingcupwall::experiment::quarantine::{Scenario, Sharing, run};
 use kingcupwall::gateway::fingerprint::Fingerprint;
 use kingcupwall::gateway::quarantine::{
-    CRASH_RETENTION_MS, CRASHES_TO_QUARANTINE, Completion, Crash, CrashReport, Incarnation,
-    QUARANTINE_MS, Quarantine, Source,
+    CRASH_RETENTION_MS, CRASHES_TO_QUARANTINE, Cause, Completion, Crash, CrashReport, Incarnation,
+    PART_QUARANTINE_MS, QUARANTINE_MS, Quarantine, Source,
 };
 use kingcupwall::http1::RequestHead;
 use kingcupwall::rows::StoreMs;
@@ -16,7 +16,7 @@
 
 fn crash(request: Fingerprint, target: u64, began: u64, at: u64) -> Crash {
     let (began, at) = (StoreMs(began), StoreMs(at));
-    Crash { request, target: Incarnation(target), began, at }
+    Crash { request, target: Incarnation(target), began, at, cause: Cause::Request }
 }
 
 /// A request that has crashed `n` targets, one after the other.
@@ -346,3 +346,108 @@
         }
     }
 }
+
+/// The parts of a prompt: one that many requests share, one behind it, and a part behind both.
+const SHARED: (Fingerprint, Cause) = (Fingerprint(21), Cause::Part(0));
+const SPECIFIC: (Fingerprint, Cause) = (Fingerprint(22), Cause::Part(1));
+const OTHER_SPECIFIC: (Fingerprint, Cause) = (Fingerprint(23), Cause::Part(1));
+
+/// Crashes of targets that ran requests with these parts, one after the other from `first` on.
+fn crash_with_parts(q: &mut Quarantine, first: u64, n: u64, parts: &[(Fingerprint, Cause)]) {
+    for t in first..first + n {
+        let different = (Fingerprint(1_000 + t), Cause::Request);
+        for (f, cause) in parts.iter().copied().chain([different]) {
+            q.record_crash(Crash { cause, ..crash(f, t, 100 * t, 100 * t + 90) }, Source::Own);
+        }
+    }
+}
+
+fn quarantined_parts(q: &Quarantine) -> [bool; 3] {
+    [SHARED, SPECIFIC, OTHER_SPECIFIC].map(|(f, _)| is_quarantined(q, f, 1_000))
+}
+
+/// Guards against sound requests that are refused because they share another part with those that
+/// crash targets.
+#[rstest]
+#[case::three_crashes(3)]
+#[case::many_crashes(9)]
+fn quarantine_most_specific_part(#[case] crashes: u64) {
+    let mut q = Quarantine::default();
+    crash_with_parts(&mut q, 0, crashes, &[SHARED, SPECIFIC]);
+    assert_eq!(quarantined_parts(&q), [false, true, false]);
+}
+
+#[test]
+fn quarantine_part_of_different_requests() {
+    let mut q = Quarantine::default();
+    crash_with_parts(&mut q, 0, 2, &[SHARED, SPECIFIC]);
+    crash_with_parts(&mut q, 2, 2, &[SHARED, OTHER_SPECIFIC]);
+    assert_eq!(quarantined_parts(&q), [true, false, false]);
+}
+
+/// Guards against a sound part that stays quarantined because the first requests with the fatal one
+/// happened to contain it as well.
+#[test]
+fn quarantine_ends_once_another_part_explains_more() {
+    let mut q = Quarantine::default();
+    crash_with_parts(&mut q, 0, 3, &[SHARED, SPECIFIC]);
+    crash_with_parts(&mut q, 3, 1, &[SHARED, OTHER_SPECIFIC]);
+    assert_eq!(quarantined_parts(&q), [true, false, false]);
+}
+
+#[test]
+fn quarantine_no_part_that_was_answered() {
+    let mut q = Quarantine::default();
+    crash_with_parts(&mut q, 0, 2, &[SHARED]);
+    q.record_completion(Completion { request: SHARED.0, at: StoreMs(195) }, Source::Other);
+    crash_with_parts(&mut q, 2, 2, &[SHARED]);
+    assert_eq!(quarantined_parts(&q), [false, false, false]);
+}
+
+#[test]
+fn quarantine_of_part_ends() {
+    let mut q = Quarantine::default();
+    crash_with_parts(&mut q, 0, 3, &[SPECIFIC]);
+    let until = StoreMs(290 + PART_QUARANTINE_MS);
+    assert_eq!(q.quarantined_until(SPECIFIC.0, StoreMs(1_000)), Some(until));
+    q.expire(until);
+    assert!(q.is_empty());
+}
+
+/// Guards against crashes of a part in many requests on one target that do not count as sequential.
+#[test]
+fn record_crash_of_part_keeps_latest_begin() {
+    let mut q = Quarantine::default();
+    for t in 0..3 {
+        let of_part = |began| {
+            let (f, cause) = SPECIFIC;
+            Crash { cause, ..crash(f, t, began, 100 * t + 90) }
+        };
+        q.record_crash(of_part(0), Source::Own);
+        q.record_crash(of_part(100 * t), Source::Other);
+    }
+    assert!(is_quarantined(&q, SPECIFIC.0, 1_000));
+}
+
+/// Reports of routers that do not know of parts.
+#[test]
+fn decode_crash_without_cause() {
+    #[derive(serde::Serialize)]
+    struct EarlierCrash {
+        r: u64,
+        t: u64,
+        b: u64,
+        a: u64,
+    }
+    let mut bytes = Vec::new();
+    ciborium::into_writer(&EarlierCrash { r: 7, t: 1, b: 2, a: 3 }, &mut bytes).unwrap();
+    let read: Crash = ciborium::from_reader(&bytes[..]).unwrap();
+    assert_eq!(read, crash(CAUSE, 1, 2, 3));
+}
+
+#[test]
+fn of_part_by_service() {
+    assert_eq!(Fingerprint::of_part("a", 1), Fingerprint::of_part("a", 1));
+    assert_ne!(Fingerprint::of_part("a", 1), Fingerprint::of_part("b", 1));
+    assert_ne!(Fingerprint::of_part("a", 1), Fingerprint::of_part("a", 2));
+}
