Streams without a length that end before their first event have broken off

What callers saw: status 200 and an empty stream that looks complete, from a target that crashed or closed its connection while it wrote the first event.

Cause: read_first_events took any end of the body for the end of the stream. With chunks or a length a body that breaks off is an error already; a body that ends with its connection has no other sign than the event in which it ends. The relay of later events looked at that (ends_within_event), the reading of the first one did not. So no target was asked again, no crash was looked for, and the answer counted as complete.

Now such an end is a broken answer: it is sent again where that is allowed, else the caller gets 502, and the target is checked for a crash. The test fails before in two of its four cases (a 200 without events); whole streams without a length and ones that break off later held before.

--- a/src/gateway/send.rs
+++ b/src/gateway/send.rs
@@ -309,6 +309,7 @@
         remaining: &mut RemainingBody,
         in_flight: &mut InFlight,
     ) -> Result<Bytes, SendOutcome> {
+        let ends_with_connection = remaining.body.ends_with_connection();
         let stream =
             remaining.stream.as_mut().expect("a reply to a stream request has its progress set");
         loop {
@@ -317,7 +318,12 @@
                 .read_piece(&mut remaining.body)
                 .await
                 .map_err(|_| SendOutcome::Truncated)?;
-            let Some(piece) = piece else { return Ok(Bytes::new()) };
+            let Some(piece) = piece else {
+                // Without a length, the end of the connection is the only sign of the end. A stream
+                // that ends before its first event has broken off.
+                let broke_off = ends_with_connection || stream.splitter.is_within_event();
+                return if broke_off { Err(SendOutcome::Truncated) } else { Ok(Bytes::new()) };
+            };
             if let Some(events) = stream.push(&piece)? {
                 let took = in_flight.record_first_event();
                 self.gw
--- a/src/standin/gateway_target.rs
+++ b/src/standin/gateway_target.rs
@@ -58,6 +58,11 @@
     AnswersTwice,
     /// Closes the connection in the middle of an event, after this many complete events.
     CutsStream(u64),
+    /// Sends a stream with neither a length nor chunks, which ends with the connection, in the
+    /// middle of an event after this many complete ones.
+    CutsUnframedStream(u64),
+    /// Sends a complete stream with neither a length nor chunks.
+    UnframedStream,
 }
 
 /// A request that a target ran.
@@ -435,9 +440,12 @@
         let output: u64 = counts.and_then(|(_, o)| o.trim().parse().ok()).unwrap_or(10);
         let resume_after = header(&head.headers, &names.last_event_id);
         let from: u64 = resume_after.and_then(|v| v.parse().ok()).unwrap_or(0);
+        let is_unframed =
+            matches!(fault, Some(TargetFault::UnframedStream | TargetFault::CutsUnframedStream(_)));
+        let framing = if is_unframed { "Connection: close" } else { "Transfer-Encoding: chunked" };
         let start = format!(
             "HTTP/1.1 200 OK\r\n{}: {id}\r\n{seal}{}Content-Type: text/event-stream\r\n\
-             Transfer-Encoding: chunked\r\n\r\n",
+             {framing}\r\n\r\n",
             names.request_id,
             self.announcements()
         );
@@ -451,6 +459,14 @@
                 write(conn, format!("{:x}\r\n{}", event.len(), &event[..6]).as_bytes()).await;
                 return false;
             }
+            if fault == Some(TargetFault::CutsUnframedStream(n - 1)) {
+                write(conn, &event.as_bytes()[..6]).await;
+                return false;
+            }
+            if is_unframed {
+                write(conn, event.as_bytes()).await;
+                continue;
+            }
             let chunk = format!("{:x}\r\n{event}\r\n", event.len());
             let disconnected = tokio::select! {
                 () = conn.wait_closed(), if !gap.is_zero() => true,
@@ -462,6 +478,9 @@
                 return false;
             }
         }
+        if is_unframed {
+            return false;
+        }
         write(conn, b"0\r\n\r\n").await
     }
 
--- a/tests/test_gateway.rs
+++ b/tests/test_gateway.rs
@@ -10,6 +10,7 @@
 use kingcupwall::standin::gateway::{LocalPlatform, catalog_parts};
 use kingcupwall::standin::gateway_host::GatewayHost;
 use kingcupwall::standin::gateway_target::TargetFault;
+use rstest::rstest;
 
 use crate::gateway_fleet::{Call, CallResult, Fleet, eventually, run_local};
 
@@ -394,3 +395,38 @@
         assert!(has(&["event=budget", "id=dear", "org=norte", "most=1020", "prepaid=300"]));
     });
 }
+
+/// Number of requests after which each of two targets has certainly got one.
+const REQUESTS_TO_BOTH_TARGETS: usize = 30;
+
+/// Guards against a stream without a length that breaks off and passes as complete, or that is not
+/// sent again although the caller has no event of it.
+#[rstest]
+#[case::whole("/stream", TargetFault::UnframedStream, 0)]
+#[case::in_first_event("/resumable", TargetFault::CutsUnframedStream(0), 0)]
+#[case::in_later_event("/resumable", TargetFault::CutsUnframedStream(2), 0)]
+#[case::in_first_event_without_resumption("/stream", TargetFault::CutsUnframedStream(0), 1)]
+fn stream_that_ends_with_connection(
+    #[case] path: &'static str,
+    #[case] fault: TargetFault,
+    #[case] failures: usize,
+) {
+    run_local(async move {
+        let fleet = Fleet::start(2, 1_000_000).await;
+        fleet.fill_retry_budget().await;
+        fleet.targets[0].fail(&[fault]);
+        let mut failed = 0;
+        for n in 0..REQUESTS_TO_BOTH_TARGETS {
+            let call = Call::get(&format!("{path}/{n}")).id(&format!("s{n}")).tokens(10, 10);
+            let got = call.send(fleet.router.front).await;
+            assert!(got.is_complete, "{}", got.body);
+            if got.status() == 502 {
+                failed += 1;
+            } else {
+                assert_eq!((got.status(), got.events()), (200, vec![1, 2, 3, 4, 5]));
+            }
+        }
+        assert!(fleet.targets.iter().all(|t| !t.runs().is_empty()));
+        assert_eq!(failed, failures);
+    });
+}
