--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -45,11 +45,11 @@
 /// `Retry-After` while every zone that has targets is emptied by the operator. Such maintenance
 /// lasts longer than a caller may wait between two attempts.
 const ZONES_EMPTIED_RETRY_AFTER: Duration = Duration::from_secs(3);
-/// Extra delay before a request retries a cold or full target, for each step of its priority rank, so that
-/// more urgent requests get the capacity first.
+/// Extra delay before a request retries a cold or full target, for each step of its priority rank,
+/// so that more urgent requests get the capacity first.
 const ROOM_WAIT_PER_RANK: Duration = Duration::from_millis(10);
-/// Number of targets in a row without room after which a request waits before it tries others.
-/// Each try asks another router.
+/// Number of targets without room after which a request waits before it tries others. Each try asks
+/// another router.
 const MAX_HELD_OFF_SENDS: u32 = 4;
 
 /// Why no target was selected for a request.
