Soak: requests that differ and share a prompt part which crashes targets

Every other request of the caller of fatal requests is a new one with a part under which targets crash, behind one that others may share.

--- a/soak/src/testbed.rs
+++ b/soak/src/testbed.rs
@@ -20,6 +20,7 @@
 
 use crate::callers::{Callers, HOST, RequestKind, SEAL_HEADER};
 use crate::cuts::RouterLinks;
+use crate::fatal::FATAL_PART;
 use crate::notices::Disturbance;
 use crate::routers::RouterProcess;
 use crate::store;
@@ -217,6 +218,7 @@
         let headers = TargetNames { headers: names::headers(), seal: SEAL_HEADER.into() };
         let target = StandinTarget::start_named(&id, "model", &zone, headers).await?;
         target.set_event_gap(EVENT_GAP);
+        target.set_fatal_part(Some(FATAL_PART));
         // A replacement may have another version than its predecessor, and both versions serve.
         let is_odd = !(n as u64 + self.replacements.get()).is_multiple_of(2);
         target.set_version(VERSIONS[usize::from(is_odd)]);
--- a/src/gateway/quarantine.rs
+++ b/src/gateway/quarantine.rs
@@ -32,7 +32,7 @@
 const SEQUENTIAL_CRASHES_TO_QUARANTINE: usize = 2;
 /// Number of crashes after which a request is quarantined even if another one was running on all of
 /// these targets, so that two requests that are always sent together cannot crash all targets.
-const MAX_SHARED_CRASHES: usize = CRASHES_TO_QUARANTINE + 2;
+pub const MAX_SHARED_CRASHES: usize = CRASHES_TO_QUARANTINE + 2;
 /// Time after a crash by which the reports of all routers have arrived, in milliseconds: a row is
 /// written within 0.5 s and read every 2 s. Until then a report may be missing that shows another
 /// request to be the cause.
