Crash reports with parts fit into a packet again

The largest report, 20 crashes and 20 completions, took 1,487 bytes: over the 1,472 of a usual packet, so that the loss of either fragment would lose it. 18 of each fit. Found by reading; the test failed with 20.

--- a/src/gateway/crashes.rs
+++ b/src/gateway/crashes.rs
@@ -25,9 +25,9 @@
 const BATCH_DELAY: Duration = Duration::from_millis(5);
 /// Minimum interval between two writes of this router's row because of crashes.
 const MIN_ROW_WRITE_INTERVAL: Duration = Duration::from_millis(500);
-/// Maximum number of crashes, and of completions, in one datagram. A crash and a completion take 70
-/// bytes together, so that the datagram fits into a usual packet.
-const MAX_EVENTS_PER_DATAGRAM: usize = 20;
+/// Maximum number of crashes, and of completions, in one datagram. A crash and a completion take up
+/// to 75 bytes together, so that the datagram fits into a usual packet.
+pub const MAX_EVENTS_PER_DATAGRAM: usize = 18;
 
 /// The crashes known to this router, and those not yet sent to the others.
 #[derive(Debug)]
--- a/src/gateway/quarantine.rs
+++ b/src/gateway/quarantine.rs
@@ -12,11 +12,11 @@
 //! another request was running on all targets that ended under a request, either may be the cause,
 //! and the next crash shows which: it ends one of them only.
 //!
-//! A part of a prompt may crash targets as well, whatever request contains it. Parts are tracked like
-//! requests: a crash is recorded for each part of the requests that had not been answered at all
-//! by then, and the first event of any answer to a request with the part shows that it is not the
-//! cause. Of several causes that explain the same crashes the most specific one is quarantined: a
-//! request before its parts, and a part before those that precede it, which more requests share.
+//! A part of a prompt may crash targets as well, whatever request contains it. Parts are tracked
+//! like requests: a crash is recorded for each part of the requests that had not been answered at
+//! all by then, and the first event of any answer to a request with the part shows that it is not
+//! the cause. Of several causes that explain the same crashes the most specific one is quarantined:
+//! a request before its parts, and a part before those that precede it, which more requests share.
 
 use std::fmt;
 
--- a/tests/test_gateway_quarantine.rs
+++ b/tests/test_gateway_quarantine.rs
@@ -1,6 +1,7 @@
 //! Quarantine decisions, tested without sockets, and fingerprints of requests.
 
 use kingcupwall::experiment::quarantine::{Scenario, Sharing, run};
+use kingcupwall::gateway::crashes::MAX_EVENTS_PER_DATAGRAM;
 use kingcupwall::gateway::fingerprint::Fingerprint;
 use kingcupwall::gateway::quarantine::{
     CRASH_RETENTION_MS, CRASHES_TO_QUARANTINE, Cause, Completion, Crash, CrashReport, Incarnation,
@@ -451,3 +452,25 @@
     assert_ne!(Fingerprint::of_part("a", 1), Fingerprint::of_part("b", 1));
     assert_ne!(Fingerprint::of_part("a", 1), Fingerprint::of_part("a", 2));
 }
+
+/// Guards against reports that do not fit into a packet, which is lost as a whole.
+#[test]
+fn report_of_parts_fits_packet() {
+    let f = |n: u64| Fingerprint(u64::MAX - n);
+    let at = StoreMs(1_000_000_000_000);
+    let crash_of_part = |n| Crash {
+        request: f(n),
+        target: Incarnation(u64::MAX),
+        began: at,
+        at,
+        cause: Cause::Part(15),
+    };
+    let events = MAX_EVENTS_PER_DATAGRAM as u64;
+    let report = CrashReport {
+        crashes: (0..events).map(crash_of_part).collect(),
+        ended_well: (0..events).map(|n| Completion { request: f(n), at }).collect(),
+    };
+    let mut bytes = Vec::new();
+    ciborium::into_writer(&report, &mut bytes).unwrap();
+    assert!(1 + bytes.len() <= 1_472, "{} bytes", bytes.len());
+}
