--- a/src/gateway/capacity.rs
+++ b/src/gateway/capacity.rs
@@ -514,6 +514,7 @@
             // While no target is in danger, there is nothing to repeat.
             if self.ended.is_active.get() {
                 let left = repeat_at.saturating_duration_since(Instant::now());
+                // Reports are repeated if no request ends until then.
                 let _ = timeout(left, self.ended.added.notified()).await;
             } else {
                 self.ended.added.notified().await;
