Test of the check of the quarantine right before a send

No test failed when that check was deleted. The new one holds a request in its wait for a cold target, makes its prompt part known as fatal, then admits it: it must not arrive. It fails without the check. The setup is shared with request_not_sent_after_notice, whose cases and assertion are unchanged.

--- a/tests/test_gateway_notices.rs
+++ b/tests/test_gateway_notices.rs
@@ -3,12 +3,15 @@
 use std::time::Duration;
 
 use futures_util::future::join_all;
-use kingcupwall::gateway::Platform;
 use kingcupwall::gateway::cold::{OwnerCandidate, WarmUp};
 use kingcupwall::gateway::datagram::Topic;
+use kingcupwall::gateway::fingerprint::Fingerprint;
 use kingcupwall::gateway::notice::{Notice, RejectionLimit, RetryAfter};
+use kingcupwall::gateway::quarantine::{CRASHES_TO_QUARANTINE, Cause, Crash, Incarnation};
 use kingcupwall::gateway::warmup::AdmissionMessage;
+use kingcupwall::gateway::{Gateway, Platform};
 use kingcupwall::http1::ResponseHead;
+use kingcupwall::rows::StoreMs;
 use kingcupwall::standin::gateway::{LEAVING, LocalPlatform, REJECTION_LIMIT, catalog_parts};
 use kingcupwall::standin::gateway_target::{StandinTarget, TargetFault};
 use rstest::rstest;
@@ -313,6 +316,33 @@
 #[case::announces_leaving(Notice { leaving: true, ..Notice::default() })]
 #[case::announces_backoff(Notice { retry_after: delay(3_000), ..Notice::default() })]
 fn request_not_sent_after_notice(#[case] notice: Notice) {
+    assert_not_sent_after(&Call::get("/once/a"), |gw| {
+        gw.targets.all()[0].self_reported.apply_notice(notice, Instant::now());
+    });
+}
+
+/// Guards against a request that crashes another target because its prompt part became known as
+/// fatal while it waited.
+#[test]
+fn request_not_sent_after_quarantine() {
+    let call = Call::get("/once/a").with_header("Prompt-Parts: bad:10,1:10").tokens(20, 10);
+    assert_not_sent_after(&call, |gw| {
+        let now = gw.budget_shares.store_now();
+        for n in 0..CRASHES_TO_QUARANTINE as u64 {
+            gw.crashes.record_crash(Crash {
+                request: Fingerprint::of_part("model", 0xbad),
+                target: Incarnation(n),
+                began: StoreMs(now.0 + 2 * n),
+                at: StoreMs(now.0 + 2 * n + 1),
+                cause: Cause::Part(0),
+            });
+        }
+    });
+}
+
+/// Sends a request that waits for the admission to a cold target, and does `meanwhile` before it is
+/// admitted. It must not reach the target.
+fn assert_not_sent_after(call: &Call, meanwhile: impl Fn(&Gateway<LocalPlatform>)) {
     run_local(async {
         let fleet = Fleet::start(1, 1_000).await;
         let (gw, target) = (&fleet.router.gw, &fleet.targets[0]);
@@ -343,13 +373,12 @@
             else {
                 panic!()
             };
-            gw.targets.all()[0].self_reported.apply_notice(notice, Instant::now());
+            meanwhile(gw);
             let mut payload = Vec::new();
             let answer = AdmissionMessage::Answer { number, room_in_ms: None };
             ciborium::into_writer(&answer, &mut payload).unwrap();
             other.send_to(&Topic::Cold.frame(&payload), from).await.unwrap();
         };
-        let call = Call::get("/once/a");
         let (got, ()) = tokio::join!(call.send(fleet.router.front), admission);
         assert_eq!((got.status(), target.arrivals().len()), (503, 0));
     });
