--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,5 +1,5 @@
 """A router that is partitioned from the workers reaches them through another router, and that one
-is killed while a worker's answer without a length passes through it."""
+is killed, or stopped, while a worker's answer without a length passes through it."""
 
 import asyncio
 import os
@@ -11,6 +11,8 @@
 
 PIECES = 12
 PIECE_GAP_S = 0.1
+# The pause of an answer that outlasts the time in which a router must stop.
+LONG_PIECE_GAP_S = 0.9
 KILL_AFTER_S = 0.55
 
 
@@ -42,7 +44,7 @@
             for piece in pieces:
                 writer.write(piece.encode())
                 await writer.drain()
-                await asyncio.sleep(PIECE_GAP_S)
+                await asyncio.sleep(LONG_PIECE_GAP_S if "/long" in line else PIECE_GAP_S)
             self.record(f"{self.name} has sent all of {attempt}")
         except (asyncio.IncompleteReadError, ConnectionError) as e:
             self.record(f"{self.name}: channel ends ({type(e).__name__})")
@@ -86,9 +88,9 @@
 async def request(record, worker, router, attempt, path):
     """Returns whether the answer is right: whole, or seen to be incomplete, or no success."""
     reader, writer = await asyncio.open_connection(router.ip, s.FRONT)
-    writer.write(f"GET {path}x HTTP/1.1\r\nHost: {s.HOST}\r\nAttempt-Id: {attempt}\r\nDeadline-Ms: 5000\r\n"
+    writer.write(f"GET {path} HTTP/1.1\r\nHost: {s.HOST}\r\nAttempt-Id: {attempt}\r\nDeadline-Ms: 15000\r\n"
                  f"Authorization: Bearer key-a\r\n\r\n".encode())
-    record(f"requester sends {attempt} (GET {path}x) to {router.name}")
+    record(f"requester sends {attempt} (GET {path}) to {router.name}")
     body, complete = b"", False
     try:
         line, headers = await asyncio.wait_for(s.read_head(reader), 6)
@@ -118,7 +120,7 @@
     worker = Worker("worker-1", record)
     to = await worker.listen(f"{net}.101")
     links = [Link(to) for _ in range(2)]
-    base = {"host": s.HOST, "service": "api", "timeout_ms": 5000, "target_latency_ms": 2000,
+    base = {"host": s.HOST, "service": "api", "timeout_ms": 15000, "target_latency_ms": 2000,
             "gap_aim_ms": 500, "priority": 1, "max_attempts": 1}
     routes = [{**base, "name": "r1", "prefix": "/plain/", "kind": "idempotent"},
               {**base, "name": "r2", "prefix": "/stream/", "kind": "streaming"}]
@@ -140,15 +142,17 @@
         record("router-1 is cut off from the worker; requesters, the store and router-2 reach it")
         links[0].cut()
     # The first request shows the router that it is cut off.
-    held &= await request(record, worker, a, "warm0000", "/plain/")
-    for n, path in enumerate(["/plain/", "/stream/"] * 2):
+    held &= await request(record, worker, a, "warm0000", "/plain/x")
+    signals = [("/plain/x", signal.SIGKILL), ("/stream/x", signal.SIGKILL)] * 2
+    for n, (path, sig) in enumerate([*signals, ("/stream/long", signal.SIGTERM)]):
         attempt = f"{n:04d}cccc"
         answer = asyncio.create_task(request(record, worker, a, attempt, path))
         await asyncio.sleep(KILL_AFTER_S)
         if trouble:
-            relay.signal(signal.SIGKILL)
-            relay.process.wait()
+            relay.signal(sig)
         held &= await answer
+        if trouble:
+            relay.process.wait(10)
         if trouble:
             relay.start()
             await relay.wait_ready()
