--- a/review/1/case.py
+++ b/review/1/case.py
@@ -16,10 +16,21 @@
 ROUTE = "/claims/"
 
 
-def pattern(attempt, n):
-    """The body of a requester attempt: its id, over and over."""
+# The tenant and the body of each request that a requester sent, by its id.
+SENT = {}
+
+
+def plain_body(attempt):
+    """A body of the requester's own id, over and over."""
     unit = f"<{attempt}>".encode()
-    return (unit * (n // len(unit) + 1))[:n]
+    return (unit * (BODY // len(unit) + 1))[:BODY]
+
+
+def smuggling_body(forged):
+    """A body that holds a request of its own, behind empty lines."""
+    request = (f"POST {ROUTE}x HTTP/1.1\r\nHost: {s.HOST}\r\nAttempt-Id: {forged}\r\nTenant: a\r\n"
+               f"Content-Length: 0\r\n\r\n").encode()
+    return b"\r\n" * ((BODY - len(request)) // 2) + request
 
 
 class Worker:
@@ -28,7 +39,7 @@
 
     def __init__(self, name, record):
         self.name, self.record, self.rejects = name, record, False
-        self.foreign, self.ran, self.rejected, self.channels = [], [], [], 0
+        self.foreign, self.ran, self.unasked, self.rejected, self.channels = [], [], [], [], 0
 
     def listen(self, ip):
         sock = socket.socket()
@@ -60,6 +71,9 @@
             byte = conn.recv(1)
             if not byte:
                 return False
+            # Empty lines before a request are skipped, as RFC 9112, section 2.2, asks of servers.
+            if not raw and byte in b"\r\n":
+                continue
             raw += byte
             if len(raw) > 16_384 or not raw[:1].isupper():
                 self.record(f"{self.name}, channel {channel}: no request, but {raw[:40]!r}")
@@ -88,8 +102,8 @@
                             f"bytes of the body of {attempt}")
                 return False
             body += piece
-            due = pattern(attempt, length)[:len(body)]
-            if body != due and attempt not in self.foreign:
+            due = SENT[attempt][1][:len(body)] if attempt in SENT else b""
+            if attempt in SENT and body != due and attempt not in self.foreign:
                 at = next(i for i, (x, y) in enumerate(zip(body, due)) if x != y)
                 self.foreign.append(attempt)
                 self.record(f"{self.name}, channel {channel}: gets other bytes where byte {at} of the "
@@ -98,14 +112,19 @@
             return True
         self.ran.append(attempt)
         self.record(f"{self.name}, channel {channel}: runs {attempt} of tenant {tenant}")
+        if attempt not in SENT or SENT[attempt][0] != tenant:
+            self.unasked.append(attempt)
+            self.record(f"{self.name}, channel {channel}: no requester sent {attempt} of tenant {tenant}")
         data = f"ran {attempt}".encode()
         conn.sendall(f"HTTP/1.1 200 OK\r\nAttempt-Id: {attempt}\r\nResponse-Seal: seal-{attempt}\r\n"
                      f"Content-Length: {len(data)}\r\n\r\n".encode() + data)
         return True
 
 
-async def request(record, router, attempt, key, body):
+async def request(record, router, attempt, tenant, body):
     """One requester attempt on a channel of its own."""
+    SENT[attempt] = (tenant, body)
+    key = f"key-{tenant}"
     reader, writer = await asyncio.open_connection(router.ip, s.FRONT)
     head = (f"POST {ROUTE}x HTTP/1.1\r\nHost: {s.HOST}\r\nAttempt-Id: {attempt}\r\n"
             f"Deadline-Ms: 3000\r\nAuthorization: Bearer {key}\r\nContent-Length: {len(body)}\r\n\r\n")
@@ -140,13 +159,15 @@
     await asyncio.sleep(1)
     for n in range(4):
         worker.rejects = trouble
-        await request(record, router, f"{n:04d}aaaa", "key-a", pattern(f"{n:04d}aaaa", BODY))
+        attempt = f"{n:04d}aaaa"
+        await request(record, router, attempt, "a", plain_body(attempt))
         worker.rejects = False
         await asyncio.sleep(0.5)
-        await request(record, router, f"{n:04d}bbbb", "key-b", pattern(f"{n:04d}bbbb", BODY))
+        await request(record, router, f"{n:04d}bbbb", "b", smuggling_body(f"{n:04d}ffff"))
         await asyncio.sleep(0.5)
-    record(f"rejected early: {worker.rejected}; ran: {worker.ran}; got other bytes: {worker.foreign}")
-    return not worker.foreign
+    record(f"rejected early: {worker.rejected}; ran: {worker.ran}; got other bytes: {worker.foreign}; "
+           f"ran though no requester sent it: {worker.unasked}")
+    return not worker.foreign and not worker.unasked
 
 
 s.main(case, os.path.dirname(os.path.abspath(__file__)))
