Review, case 1: a requester gets another tenant's answer

Cause: the request inside the body may bear the id of its own requester, and the router passes on an answer with that id. Change: the script's second bodies hold such a request in turn.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -114,8 +114,8 @@
         self.record(f"{self.name}, channel {channel}: runs {attempt} of tenant {tenant}")
         if attempt not in SENT or SENT[attempt][0] != tenant:
             self.unasked.append(attempt)
-            self.record(f"{self.name}, channel {channel}: no requester sent {attempt} of tenant {tenant}")
-        data = f"ran {attempt}".encode()
+            self.record(f"{self.name}, channel {channel}: no requester of tenant {tenant} sent {attempt}")
+        data = f"ran {attempt} for tenant {tenant}".encode()
         conn.sendall(f"HTTP/1.1 200 OK\r\nAttempt-Id: {attempt}\r\nResponse-Seal: seal-{attempt}\r\n"
                      f"Content-Length: {len(data)}\r\n\r\n".encode() + data)
         return True
@@ -163,7 +163,9 @@
         await request(record, router, attempt, "a", plain_body(attempt))
         worker.rejects = False
         await asyncio.sleep(0.5)
-        await request(record, router, f"{n:04d}bbbb", "b", smuggling_body(f"{n:04d}ffff"))
+        # The request inside the body has an id that no requester sent, or that of its own requester.
+        attempt = f"{n:04d}bbbb"
+        await request(record, router, attempt, "b", smuggling_body(attempt if n % 2 else f"{n:04d}ffff"))
         await asyncio.sleep(0.5)
     record(f"rejected early: {worker.rejected}; ran: {worker.ran}; got other bytes: {worker.foreign}; "
            f"ran though no requester sent it: {worker.unasked}")
