Connections with a partly written request are not used again

Cause: write_until_answered stops when the target answers early; its result was dropped, and is_reusable looked at received bytes only.

Evidence: the target's record shows the second head at byte 47,639 of the first body. Ruled out: an answer still due on the connection, two framings.

Fix: Conn marks a message as begun before its first byte is written, and unmarks it after the last; is_reusable, which all ways into and out of the pool pass, asks for the mark. A dropped future leaves the mark.

--- a/src/http1/conn.rs
+++ b/src/http1/conn.rs
@@ -37,6 +37,9 @@
     io: TcpStream,
     buf: BytesMut,
     eof: bool,
+    /// Whether a message was begun and not written whole. The peer would take whatever is sent next
+    /// for the rest of it.
+    has_unsent: bool,
 }
 
 impl Conn {
@@ -52,7 +55,7 @@
         sock.set_tcp_user_timeout(Some(unacked_timeout))?;
         let probe = Duration::from_secs(unacked_timeout.as_secs().max(1));
         sock.set_tcp_keepalive(&TcpKeepalive::new().with_time(probe).with_interval(probe))?;
-        Ok(Conn { io, buf: BytesMut::new(), eof: false })
+        Ok(Conn { io, buf: BytesMut::new(), eof: false, has_unsent: false })
     }
 
     /// Connects to `addr`.
@@ -94,10 +97,10 @@
         self.buf.is_empty()
     }
 
-    /// Whether an idle connection can carry a request: it is open and holds no unexpected bytes,
-    /// which would be taken for the next answer.
+    /// Whether an idle connection can carry a request: it is open, the request before was written
+    /// whole, and it holds no unexpected bytes, which would be taken for the next answer.
     pub fn is_reusable(&mut self) -> bool {
-        if self.eof || !self.buf.is_empty() {
+        if self.eof || self.has_unsent || !self.buf.is_empty() {
             return false;
         }
         let mut byte = [0];
@@ -214,20 +217,24 @@
         }
     }
 
-    /// Writes all of `bytes`.
+    /// Writes all of `bytes`. If the future is dropped before, the connection is not reusable.
     ///
     /// # Errors
     /// The error of the socket.
     pub async fn write(&mut self, bytes: &[u8]) -> io::Result<()> {
-        self.io.write_all(bytes).await
+        self.has_unsent = true;
+        self.io.write_all(bytes).await?;
+        self.has_unsent = false;
+        Ok(())
     }
 
-    /// Writes a request, and stops if the peer answers before all of it was written. Returns
-    /// whether all of it was written.
+    /// Writes a request, and stops if the peer answers before all of it was written. The connection
+    /// is not reusable then.
     ///
     /// # Errors
     /// The error of the socket, if no answer can be read from it.
-    pub async fn write_until_answered(&mut self, bytes: &[u8]) -> io::Result<bool> {
+    pub async fn write_until_answered(&mut self, bytes: &[u8]) -> io::Result<()> {
+        self.has_unsent = true;
         // A typical request fits into the socket's send buffer, so the answer need not be watched
         // for.
         let sent = match self.io.try_write(bytes) {
@@ -236,17 +243,22 @@
             Err(e) => return Err(e),
         };
         if sent == bytes.len() {
-            return Ok(true);
+            self.has_unsent = false;
+            return Ok(());
         }
         let (mut rd, mut wr) = self.io.split();
         tokio::select! {
             biased;
-            done = wr.write_all(&bytes[sent..]) => done.map(|()| true),
+            done = wr.write_all(&bytes[sent..]) => {
+                done?;
+                self.has_unsent = false;
+            }
             _ = async {
                 self.buf.reserve(READ_CHUNK_BYTES);
                 rd.read_buf(&mut self.buf).await
-            } => Ok(false),
+            } => (),
         }
+        Ok(())
     }
 
     /// Takes the connection apart into its socket and the bytes that were read but not consumed.
--- a/src/standin/gateway_target.rs
+++ b/src/standin/gateway_target.rs
@@ -8,8 +8,9 @@
 
 use bytes::Bytes;
 use compact_str::CompactString;
-use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::watch;
+use socket2::SockRef;
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
+use tokio::sync::{Notify, watch};
 use tokio::task::spawn_local;
 use tokio::time::Instant;
 
@@ -23,6 +24,10 @@
 const UNACKED_TIMEOUT: Duration = Duration::from_secs(5);
 /// Maximum length of a request body, in bytes.
 const MAX_BODY_LEN: u64 = 1024 * 1024;
+/// Segment size of Ethernet. With the loopback interface's own, a sender's buffer holds megabytes.
+const SEGMENT_BYTES: u32 = 1_460;
+/// Connections that may wait to be accepted.
+const ACCEPT_BACKLOG: u32 = 128;
 /// Body of a request that crashes any target that runs it.
 pub const FATAL_BODY: &[u8] = b"fatal";
 /// Delay between an answer with `Connection: close` and the close of the connection.
@@ -63,6 +68,12 @@
     CutsUnframedStream(u64),
     /// Sends a complete stream with neither a length nor chunks.
     UnframedStream,
+    /// Rejects the request before its body has arrived; does not run it. Keeps the connection, and
+    /// reads the body after [`StandinTarget::read_on`].
+    RejectsEarly,
+    /// Runs the request and answers before its body has arrived. Keeps the connection, and reads
+    /// the body after [`StandinTarget::read_on`].
+    AnswersEarly,
 }
 
 /// A request that a target ran.
@@ -130,6 +141,8 @@
     arrivals: Vec<Arrival>,
     places: Places,
     fatal_part: Option<u64>,
+    late_bodies: Vec<Bytes>,
+    reads_on: Rc<Notify>,
 }
 
 /// A target with its own port. Clones share its state.
@@ -177,6 +190,34 @@
         names: TargetNames,
     ) -> Result<StandinTarget> {
         let listener = TcpListener::bind("127.0.0.1:0").await?;
+        StandinTarget::start_on(listener, id, service, zone, names)
+    }
+
+    /// Starts a target whose connections buffer only about `window` bytes that it has not read.
+    ///
+    /// # Errors
+    /// `Io` when no port can be bound.
+    pub async fn start_with_window(
+        id: &str,
+        service: &str,
+        zone: &str,
+        window: u32,
+    ) -> Result<StandinTarget> {
+        let names = TargetNames { headers: header_names(), seal: SEAL.into() };
+        let sock = TcpSocket::new_v4()?;
+        sock.set_recv_buffer_size(window)?;
+        SockRef::from(&sock).set_tcp_mss(SEGMENT_BYTES)?;
+        sock.bind(SocketAddr::from(([127, 0, 0, 1], 0)))?;
+        StandinTarget::start_on(sock.listen(ACCEPT_BACKLOG)?, id, service, zone, names)
+    }
+
+    fn start_on(
+        listener: TcpListener,
+        id: &str,
+        service: &str,
+        zone: &str,
+        names: TargetNames,
+    ) -> Result<StandinTarget> {
         let target = StandinTarget {
             id: id.into(),
             service: service.into(),
@@ -275,6 +316,16 @@
         self.shared.borrow().arrivals.clone()
     }
 
+    /// Reads the bodies of requests that were answered early.
+    pub fn read_on(&self) {
+        self.shared.borrow().reads_on.notify_one();
+    }
+
+    /// The complete bodies of requests that were answered early.
+    pub fn late_bodies(&self) -> Vec<Bytes> {
+        self.shared.borrow().late_bodies.clone()
+    }
+
     /// The requests that the target ran.
     pub fn runs(&self) -> Vec<ReceivedRequest> {
         self.shared.borrow().runs.clone()
@@ -325,6 +376,12 @@
         let Ok(mut conn) = Conn::new(io, UNACKED_TIMEOUT) else { return };
         let answer_all = async {
             while let Ok(head) = conn.read_request(64 * 1024).await {
+                if let Some(fault) = self.next_early_fault() {
+                    if !self.answer_early(&mut conn, &head, fault).await {
+                        return;
+                    }
+                    continue;
+                }
                 let Ok(Some(body)) = conn.read_body(head.body, MAX_BODY_LEN).await else { return };
                 if !self.answer(&mut conn, &head, body).await {
                     return;
@@ -334,6 +391,31 @@
         self.run_until_crash(answer_all).await;
     }
 
+    fn next_early_fault(&self) -> Option<TargetFault> {
+        let is_early = |f: &mut TargetFault| {
+            matches!(f, TargetFault::RejectsEarly | TargetFault::AnswersEarly)
+        };
+        self.shared.borrow_mut().faults.pop_front_if(is_early)
+    }
+
+    /// Answers a request of which only the head was read, and reads its body later. Returns whether
+    /// the connection stays open.
+    async fn answer_early(&self, conn: &mut Conn, head: &RequestHead, fault: TargetFault) -> bool {
+        let names = &self.names.headers;
+        let id: CompactString = header(&head.headers, &names.request_id).unwrap_or_default().into();
+        let seal = format!("{}: {}.{id}\r\n", self.names.seal, self.id);
+        let text = format!("answer of {} to {id}", self.id);
+        let answered = match fault {
+            TargetFault::RejectsEarly => self.reject(conn, &id, "").await,
+            _ => write(conn, &self.response(200, &id, &seal, &text)).await,
+        };
+        let reads_on = self.shared.borrow().reads_on.clone();
+        reads_on.notified().await;
+        let Ok(Some(body)) = conn.read_body(head.body, MAX_BODY_LEN).await else { return false };
+        self.shared.borrow_mut().late_bodies.push(body);
+        answered
+    }
+
     /// Answers one request. Returns whether the connection stays open.
     async fn answer(&self, conn: &mut Conn, head: &RequestHead, body: Bytes) -> bool {
         let names = &self.names.headers;
--- a/tests/tests.rs
+++ b/tests/tests.rs
@@ -21,6 +21,7 @@
 mod test_gateway_cold;
 mod test_gateway_cold_model;
 mod test_gateway_config;
+mod test_gateway_connections;
 mod test_gateway_decisions;
 mod test_gateway_fatal;
 mod test_gateway_homes;
