Requests are written on while answers are read

Callers saw: 504 for a sound request with a long body, if a target sent an extra answer to an earlier request while the body was written.

Cause: write_until_answered stopped at the first byte that arrived, whatever it belonged to; the router then waited for the answer to half a request.

Evidence: the stand-in's record of the body, and stray_answer_skipped in the log, which rules out that the extra answer was passed on.

Fix: Conn keeps the unsent rest of a request, and every read goes on writing it. A failed write no longer hides an answer that has already arrived.

--- a/src/gateway/send.rs
+++ b/src/gateway/send.rs
@@ -86,7 +86,7 @@
         if plan.engine {
             self.gw.hints.record_placement(&target, plan, &self.meta.parts);
         }
-        let outcome = self.send_and_read_head(&mut target_conn, &bytes, plan).await;
+        let outcome = self.send_and_read_head(&mut target_conn, bytes.into(), plan).await;
         match outcome {
             Ok(head) => self.read_reply(target_conn, head, in_flight).await,
             Err(ended) => {
@@ -160,15 +160,11 @@
     async fn send_and_read_head(
         &self,
         target_conn: &mut TargetConn,
-        bytes: &[u8],
+        bytes: Bytes,
         plan: &PlacementPlan,
     ) -> Result<ResponseHead, SendOutcome> {
         let outcome = async {
-            target_conn
-                .conn
-                .write_until_answered(bytes)
-                .await
-                .map_err(|_| SendOutcome::NoAnswer)?;
+            target_conn.conn.start_request(bytes).map_err(|_| SendOutcome::NoAnswer)?;
             self.read_matching_head(target_conn).await
         };
         match self.answer_timeout(plan) {
--- a/src/http1/conn.rs
+++ b/src/http1/conn.rs
@@ -4,9 +4,9 @@
 use std::net::{IpAddr, SocketAddr};
 use std::time::Duration;
 
-use bytes::{Bytes, BytesMut};
+use bytes::{Buf, Bytes, BytesMut};
 use socket2::{SockRef, TcpKeepalive};
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::io::{AsyncReadExt, AsyncWriteExt, Interest};
 use tokio::net::{TcpSocket, TcpStream};
 
 use super::body::{BodyDecoder, Step};
@@ -40,6 +40,8 @@
     /// Whether a message was begun and not written whole. The peer would take whatever is sent next
     /// for the rest of it.
     has_unsent: bool,
+    /// The rest of a request, which is written while the answer is waited for.
+    unsent: Bytes,
 }
 
 impl Conn {
@@ -55,7 +57,7 @@
         sock.set_tcp_user_timeout(Some(unacked_timeout))?;
         let probe = Duration::from_secs(unacked_timeout.as_secs().max(1));
         sock.set_tcp_keepalive(&TcpKeepalive::new().with_time(probe).with_interval(probe))?;
-        Ok(Conn { io, buf: BytesMut::new(), eof: false, has_unsent: false })
+        Ok(Conn { io, buf: BytesMut::new(), eof: false, has_unsent: false, unsent: Bytes::new() })
     }
 
     /// Connects to `addr`.
@@ -81,12 +83,30 @@
         Conn::new(sock.connect(addr).await?, unacked_timeout)
     }
 
-    /// Reads more bytes. Cancel safe: no byte is lost.
+    /// Reads more bytes, and meanwhile writes the rest of a request. Cancel safe: no byte is lost.
     async fn fill(&mut self) -> io::Result<usize> {
         if self.buf.is_empty() && self.buf.capacity() > MAX_READ_AHEAD_BYTES {
             self.buf = BytesMut::new();
         }
         self.buf.reserve(READ_CHUNK_BYTES);
+        while !self.unsent.is_empty() {
+            let ready = self.io.ready(Interest::READABLE | Interest::WRITABLE).await?;
+            if ready.is_writable()
+                && let Err(e) = self.write_unsent()
+            {
+                // A target that rejects a request and closes the connection may have answered.
+                log::debug!("conn unsent={} error={e}", self.unsent.len());
+                self.unsent.clear();
+            }
+            match self.io.try_read_buf(&mut self.buf) {
+                Ok(n) => {
+                    self.eof |= n == 0;
+                    return Ok(n);
+                }
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => (),
+                Err(e) => return Err(e),
+            }
+        }
         let n = self.io.read_buf(&mut self.buf).await?;
         self.eof |= n == 0;
         Ok(n)
@@ -228,36 +248,27 @@
         Ok(())
     }
 
-    /// Writes a request, and stops if the peer answers before all of it was written. The connection
-    /// is not reusable then.
+    /// Begins to write a request. What the socket does not take at once is written while the answer
+    /// is read, so that neither an early answer nor a late one to another request holds it up.
     ///
     /// # Errors
-    /// The error of the socket, if no answer can be read from it.
-    pub async fn write_until_answered(&mut self, bytes: &[u8]) -> io::Result<()> {
+    /// The error of the socket.
+    pub fn start_request(&mut self, request: Bytes) -> io::Result<()> {
         self.has_unsent = true;
-        // A typical request fits into the socket's send buffer, so the answer need not be watched
-        // for.
-        let sent = match self.io.try_write(bytes) {
-            Ok(n) => n,
-            Err(e) if e.kind() == io::ErrorKind::WouldBlock => 0,
-            Err(e) => return Err(e),
-        };
-        if sent == bytes.len() {
-            self.has_unsent = false;
-            return Ok(());
-        }
-        let (mut rd, mut wr) = self.io.split();
-        tokio::select! {
-            biased;
-            done = wr.write_all(&bytes[sent..]) => {
-                done?;
-                self.has_unsent = false;
+        self.unsent = request;
+        self.write_unsent()
+    }
+
+    fn write_unsent(&mut self) -> io::Result<()> {
+        while !self.unsent.is_empty() {
+            match self.io.try_write(&self.unsent) {
+                Ok(0) => return Err(io::ErrorKind::WriteZero.into()),
+                Ok(n) => self.unsent.advance(n),
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => return Ok(()),
+                Err(e) => return Err(e),
             }
-            _ = async {
-                self.buf.reserve(READ_CHUNK_BYTES);
-                rd.read_buf(&mut self.buf).await
-            } => (),
         }
+        self.has_unsent = false;
         Ok(())
     }
 
--- a/src/standin/gateway_target.rs
+++ b/src/standin/gateway_target.rs
@@ -74,6 +74,8 @@
     /// Runs the request and answers before its body has arrived. Keeps the connection, and reads
     /// the body after [`StandinTarget::read_on`].
     AnswersEarly,
+    /// Sends a response with the id of another request before it reads the body of this one.
+    StrayAnswerBeforeBody,
 }
 
 /// A request that a target ran.
@@ -376,11 +378,19 @@
         let Ok(mut conn) = Conn::new(io, UNACKED_TIMEOUT) else { return };
         let answer_all = async {
             while let Ok(head) = conn.read_request(64 * 1024).await {
-                if let Some(fault) = self.next_early_fault() {
-                    if !self.answer_early(&mut conn, &head, fault).await {
-                        return;
+                match self.next_early_fault() {
+                    Some(TargetFault::StrayAnswerBeforeBody) => {
+                        if !write(&mut conn, &self.stray_response()).await {
+                            return;
+                        }
                     }
-                    continue;
+                    Some(fault) => {
+                        if !self.answer_early(&mut conn, &head, fault).await {
+                            return;
+                        }
+                        continue;
+                    }
+                    None => (),
                 }
                 let Ok(Some(body)) = conn.read_body(head.body, MAX_BODY_LEN).await else { return };
                 if !self.answer(&mut conn, &head, body).await {
@@ -393,7 +403,12 @@
 
     fn next_early_fault(&self) -> Option<TargetFault> {
         let is_early = |f: &mut TargetFault| {
-            matches!(f, TargetFault::RejectsEarly | TargetFault::AnswersEarly)
+            matches!(
+                f,
+                TargetFault::RejectsEarly
+                    | TargetFault::AnswersEarly
+                    | TargetFault::StrayAnswerBeforeBody
+            )
         };
         self.shared.borrow_mut().faults.pop_front_if(is_early)
     }
@@ -499,7 +514,7 @@
             }
             Some(TargetFault::AnswersTwice) => {
                 let mut responses = self.response(200, &id, &seal, &text);
-                responses.extend(self.response(200, "someone-else", &seal, "not for you"));
+                responses.extend(self.stray_response());
                 write(conn, &responses).await
             }
             _ if head.target.starts_with("/stream/") || head.target.starts_with("/resumable/") => {
@@ -592,6 +607,12 @@
         lines
     }
 
+    /// A response with the id of another request.
+    fn stray_response(&self) -> Vec<u8> {
+        let seal = format!("{}: {}.someone-else\r\n", self.names.seal, self.id);
+        self.response(200, "someone-else", &seal, "not for you")
+    }
+
     fn response(&self, status: u16, id: &str, headers: &str, body: &str) -> Vec<u8> {
         let (name, len, announced) =
             (&self.names.headers.request_id, body.len(), self.announcements());
--- a/tests/test_gateway_connections.rs
+++ b/tests/test_gateway_connections.rs
@@ -47,3 +47,18 @@
         assert!(target.late_bodies().iter().all(|body| *body == first));
     });
 }
+
+/// Guards against a request of which only a part is sent, because an answer to an earlier request
+/// arrives meanwhile.
+#[test]
+fn forward_stray_answer_within_body() {
+    run_local(async {
+        let fleet = fleet_with_small_window().await;
+        let target = &fleet.targets[0];
+        let body = "1".repeat(LONG_BODY);
+        target.fail(&[TargetFault::StrayAnswerBeforeBody]);
+        let got = Call::get("/once/a").body(&body).send(fleet.router.front).await;
+        assert_eq!((got.status(), got.body.as_str()), (200, "answer of t1 to q1"));
+        assert_eq!(target.runs()[0].body, body);
+    });
+}
