A planned stop waits for requests that are still arriving

Cause: a request counted as active only after its body was read, and the stop waits once until none is active.

Evidence: event=stop phase=last_writes active=0 while eight bodies arrive. Ruled out: a shortened grace, a failed last write.

Fix: a request counts from its first byte. Once the stop takes no new requests, connections with nothing read are closed unread, so the count cannot rise again; a request whose time limit ends after the stop is refused with 503, and nothing is sent to a target after the stop's end.

--- a/src/gateway/drain.rs
+++ b/src/gateway/drain.rs
@@ -19,6 +19,7 @@
     let requested_at = Instant::now();
     let end = requested_at + gw.settings.grace.saturating_sub(FINAL_WRITES_TIME);
     gw.log.note("stop", format_args!("phase=leaving active={}", gw.active_requests.get()));
+    gw.stop_by.set(Some(end));
     gw.phase.send_replace(Phase::Leaving);
     members::mark_leaving(gw);
     gw.budget_shares.stop_lending();
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -173,6 +173,9 @@
         };
         let wait = meta.time_left.map_or(route.timeout, |t| t.min(route.timeout));
         let answer_deadline = started + wait;
+        if gw.stops_before(answer_deadline) {
+            return Err(refused(RouterResponse::refusal("stopping", DEFAULT_RETRY_AFTER)));
+        }
         let draw = fastrand::f64();
         let service = route.service(draw).cloned();
         let service = service
@@ -322,6 +325,10 @@
             if let Err(resp) = self.check_quarantine() {
                 return failure_reply.ok_or(self.map_refusal(resp));
             }
+            if self.gw.stops_before(Instant::now()) {
+                let resp = RouterResponse::refusal("stopping", DEFAULT_RETRY_AFTER);
+                return failure_reply.ok_or(self.map_refusal(resp));
+            }
             let (backend, plan) = match self.choose_target() {
                 Ok(chosen) => chosen,
                 Err(Unplaced::NoRoom { room_in }) if self.can_wait_for_room(room_in) => {
--- a/src/gateway/front.rs
+++ b/src/gateway/front.rs
@@ -51,8 +51,9 @@
 
 enum Kind {
     Connection,
-    /// A request with this many bytes of body.
-    Request(u64),
+    Request,
+    /// A request body of this many bytes.
+    Body(u64),
     /// A request of another router's caller, with this many connections.
     Tunnel(usize),
 }
@@ -63,11 +64,15 @@
         CountGuard(gw, Kind::Connection)
     }
 
-    fn request(gw: &'a Gateway<P>, bytes: u64) -> CountGuard<'a, P> {
-        gw.requests_since_sample.set(gw.requests_since_sample.get().saturating_add(1));
+    /// Counts a request from its first byte on, so that a planned stop waits for the rest of it.
+    fn request(gw: &'a Gateway<P>) -> CountGuard<'a, P> {
         gw.active_requests.set(gw.active_requests.get() + 1);
+        CountGuard(gw, Kind::Request)
+    }
+
+    fn body(gw: &'a Gateway<P>, bytes: u64) -> CountGuard<'a, P> {
         gw.body_bytes.set(gw.body_bytes.get() + bytes);
-        CountGuard(gw, Kind::Request(bytes))
+        CountGuard(gw, Kind::Body(bytes))
     }
 
     /// Counts a tunnel, which occupies `connections` connections.
@@ -83,10 +88,8 @@
         let gw = self.0;
         match self.1 {
             Kind::Connection => gw.open_connections.set(gw.open_connections.get() - 1),
-            Kind::Request(bytes) => {
-                gw.body_bytes.set(gw.body_bytes.get() - bytes);
-                request_ended(gw);
-            }
+            Kind::Request => request_ended(gw),
+            Kind::Body(bytes) => gw.body_bytes.set(gw.body_bytes.get() - bytes),
             Kind::Tunnel(connections) => {
                 gw.open_connections.set(gw.open_connections.get() - connections);
                 request_ended(gw);
@@ -110,7 +113,7 @@
     let mut phase = gw.phase.subscribe();
     let mut requests = 0;
     let mut first_ms = None;
-    while let Some(head) = next_request(&gw, &mut conn, &mut phase).await {
+    while let Some((head, _counted)) = next_request(&gw, &mut conn, &mut phase).await {
         let started = Instant::now();
         requests += 1;
         first_ms.get_or_insert((started - accepted).as_millis());
@@ -125,23 +128,28 @@
     );
 }
 
-/// Reads the next request head; `None` if the connection is to be closed.
-async fn next_request<P: Platform>(
-    gw: &Gateway<P>,
+/// Reads the next request head; `None` if the connection is to be closed. The request counts as
+/// active from its first byte on.
+async fn next_request<'a, P: Platform>(
+    gw: &'a Gateway<P>,
     conn: &mut Conn,
     phase: &mut watch::Receiver<Phase>,
-) -> Option<RequestHead> {
+) -> Option<(RequestHead, CountGuard<'a, P>)> {
     let limits = gw.limits();
+    let has_data = !conn.is_buffer_empty();
     let more = tokio::select! {
         biased;
+        // Bytes that were not read yet are left unread: the stop may already have seen that no
+        // request is active.
+        _ = phase.wait_for(|p| *p == Phase::Finishing), if !has_data => return None,
         more = timeout(limits.idle_time, conn.wait_for_data()) => more,
-        _ = phase.wait_for(|p| *p == Phase::Finishing) => return None,
     };
     if !matches!(more, Ok(Ok(true))) {
         return None;
     }
+    let counted = CountGuard::request(gw);
     let response = match timeout(limits.head_time, conn.read_request(limits.head_bytes)).await {
-        Ok(Ok(head)) => return Some(head),
+        Ok(Ok(head)) => return Some((head, counted)),
         Ok(Err(HeadError::Closed | HeadError::Broken(_))) => return None,
         Ok(Err(HeadError::Invalid(_))) => RouterResponse::new(400, "malformed_request"),
         Ok(Err(HeadError::TooLong)) => RouterResponse::new(431, "head_too_long"),
@@ -197,6 +205,7 @@
     head: &RequestHead,
     started: Instant,
 ) -> bool {
+    gw.requests_since_sample.set(gw.requests_since_sample.get().saturating_add(1));
     let meta = RequestMeta::read(gw.platform.header_names(), &head.headers);
     let body = match read_body(gw, conn, head, &meta).await {
         Ok(body) => body,
@@ -215,7 +224,7 @@
             return false;
         }
     };
-    let _counted = CountGuard::request(gw, body.len() as u64);
+    let _held = CountGuard::body(gw, body.len() as u64);
     let id = meta.id.clone();
     let admitted = tokio::select! {
         biased;
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -7,6 +7,7 @@
 
 use compact_str::CompactString;
 use tokio::sync::{Notify, watch};
+use tokio::time::Instant;
 
 use super::backend::TargetInfo;
 use super::capacity::CapacityAdmissions;
@@ -148,6 +149,8 @@
     pub confirmed: tokio::sync::Mutex<Option<Confirmation>>,
     /// Progress of a planned stop.
     pub phase: watch::Sender<Phase>,
+    /// When a planned stop ends the requests that are still active; `None` without a stop.
+    pub stop_by: Cell<Option<Instant>>,
     /// The view of the fleet that entry answers are computed from.
     pub entry: watch::Sender<EntryView>,
     /// Requests that arrived since the request rate was last measured.
@@ -204,6 +207,7 @@
             config_feed: Feed::default(),
             confirmed: tokio::sync::Mutex::new(None),
             phase: watch::Sender::new(Phase::Up),
+            stop_by: Cell::new(None),
             entry: watch::Sender::new(EntryView::default()),
             requests_since_sample: Cell::new(0),
             requests_per_s: Cell::new(0),
@@ -237,6 +241,14 @@
         Some(AdmissionLimit::for_warm_up(warm_up, self.settings.cold))
     }
 
+    /// Whether a planned stop may end a request before `answer_deadline`, so that it must not be
+    /// sent. Until [`Phase::Finishing`] requests are taken whatever their time limit, because
+    /// callers may know no other router.
+    pub fn stops_before(&self, answer_deadline: Instant) -> bool {
+        *self.phase.borrow() == Phase::Finishing
+            && self.stop_by.get().is_some_and(|end| answer_deadline > end)
+    }
+
     /// Whether callers should be sent to this router.
     pub fn is_ready(&self) -> bool {
         *self.phase.borrow() == Phase::Up && self.catalog.borrow().is_some()
--- a/tests/gateway_fleet.rs
+++ b/tests/gateway_fleet.rs
@@ -64,6 +64,7 @@
     path: String,
     id: String,
     key: Option<String>,
+    time_left_ms: u64,
     headers: String,
     body: String,
 }
@@ -76,6 +77,7 @@
             path: path.into(),
             id: "q1".into(),
             key,
+            time_left_ms: 4_000,
             headers: String::new(),
             body: String::new(),
         }
@@ -93,6 +95,12 @@
         self
     }
 
+    /// Sets how long the caller waits for the answer.
+    pub fn time_left_ms(mut self, ms: u64) -> Call {
+        self.time_left_ms = ms;
+        self
+    }
+
     /// Adds a header line, without the line end.
     pub fn with_header(mut self, line: &str) -> Call {
         self.headers += &format!("{line}\r\n");
@@ -120,9 +128,10 @@
             format!("Content-Length: {}\r\n", self.body.len())
         };
         format!(
-            "{method} {} HTTP/1.1\r\nHost: shop.example\r\nRequest-Id: {}\r\nTime-Left-Ms: 4000\r\n{}{}{length}\r\n{}",
+            "{method} {} HTTP/1.1\r\nHost: shop.example\r\nRequest-Id: {}\r\nTime-Left-Ms: {}\r\n{}{}{length}\r\n{}",
             self.path,
             self.id,
+            self.time_left_ms,
             key.unwrap_or_default(),
             self.headers,
             self.body,
--- a/tests/test_gateway.rs
+++ b/tests/test_gateway.rs
@@ -4,6 +4,7 @@
 
 use kingcupwall::allowance::Ledger;
 use kingcupwall::gateway::drain;
+use kingcupwall::gateway::state::Phase;
 use kingcupwall::http1::{Conn, header};
 use kingcupwall::ids::Tokens;
 use kingcupwall::rows::{Fault, RowStore};
@@ -11,6 +12,7 @@
 use kingcupwall::standin::gateway_host::GatewayHost;
 use kingcupwall::standin::gateway_target::TargetFault;
 use rstest::rstest;
+use tokio::task::spawn_local;
 
 use crate::gateway_fleet::{Call, CallResult, Fleet, eventually, run_local};
 
@@ -375,6 +377,49 @@
     });
 }
 
+/// A request with a body, of which the first bytes, without the last `missing` ones, arrive before a
+/// planned stop takes no new requests, and the rest afterwards. Returns the answer and the log.
+async fn call_during_stop(fleet: &Fleet, call: &Call, missing: usize) -> (CallResult, String) {
+    let bytes = call.bytes();
+    let mut conn = Conn::dial(fleet.router.front, Duration::from_secs(5)).await.unwrap();
+    let (gw, mut phase) = (fleet.router.gw.clone(), fleet.router.gw.phase.subscribe());
+    conn.write(&bytes[..bytes.len() - missing]).await.unwrap();
+    eventually("the request begins to arrive", || gw.open_connections.get() == 1).await;
+    let stop = spawn_local(async move { drain::stop(&gw).await });
+    phase.wait_for(|p| *p == Phase::Finishing).await.unwrap();
+    conn.write(&bytes[bytes.len() - missing..]).await.unwrap();
+    let got = CallResult::read(&mut conn).await;
+    stop.await.unwrap();
+    (got, fleet.router.log.take())
+}
+
+/// Guards against a stop that ends the process while a target runs a request that arrived slowly.
+#[rstest]
+#[case::body(5)]
+#[case::head(60)]
+fn drain_waits_for_arriving_request(#[case] missing: usize) {
+    run_local(async move {
+        let fleet = Fleet::start(1, 1_000).await;
+        let call = Call::get("/once/a").time_left_ms(1_000).body("one washer");
+        let (got, log) = call_during_stop(&fleet, &call, missing).await;
+        assert_eq!((got.status(), fleet.runs()), (200, 1));
+        let position = |text: &str| log.find(text).unwrap_or_else(|| panic!("no {text} in {log}"));
+        assert!(position("event=done id=q1") < position("phase=last_writes"), "{log}");
+    });
+}
+
+/// Guards against a request that a stopping router sends to a target and then ends in the middle.
+#[test]
+fn drain_refuses_request_without_time() {
+    run_local(async {
+        let fleet = Fleet::start(1, 1_000).await;
+        let call = Call::get("/once/a").time_left_ms(60_000).body("one washer");
+        let (got, _) = call_during_stop(&fleet, &call, 5).await;
+        assert_eq!((got.status(), fleet.runs()), (503, 0));
+        assert!(got.header("Retry-After").is_some());
+    });
+}
+
 #[test]
 fn log_identifies_cause() {
     // The log must identify the cause of a failure by request id, for three kinds of failure.
