A relay says when the target has closed its connection

Cause: the kernel of a relay that is killed closes the tunnel in order, as after the target's own close, and nothing in the tunnel tells the two apart.

Evidence: a tunnel that is ended in order at each byte passes as complete from the first byte after the head on. Ruled out: a reset that the relay passes on as an end, a failed read that the router takes for one.

Fix: a router asks for the target's bytes in chunks; the last chunk is sent only after the target has closed. Conn decodes them, and an end without the last chunk is a failed read. Behind a relay that does not frame, any end is one; a router that does not ask gets plain bytes.

--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -14,7 +14,7 @@
 use super::reply::{RemainingBody, Reply};
 use super::request::{is_hop_by_hop, write_header_line};
 use super::state::{Phase, Platform};
-use crate::http1::{Conn, ResponseHead};
+use crate::http1::{Conn, LAST_CHUNK, ResponseHead, append_chunk};
 
 /// How long a caller may accept no bytes before it counts as disconnected. Its buffers hold several
 /// seconds of a stream.
@@ -114,17 +114,11 @@
 }
 
 fn append_framed(out: &mut Vec<u8>, framing: Framing, piece: &[u8]) {
-    use std::io::Write;
-    if piece.is_empty() {
-        return;
-    }
-    if framing != Framing::Chunked {
-        return out.extend_from_slice(piece);
+    if framing == Framing::Chunked {
+        append_chunk(out, piece);
+    } else {
+        out.extend_from_slice(piece);
     }
-    // Writing into a vector cannot fail.
-    let _ = write!(out, "{:x}\r\n", piece.len());
-    out.extend_from_slice(piece);
-    out.extend_from_slice(b"\r\n");
 }
 
 /// Relays an answer. Returns the outcome and whether the caller's connection can be reused.
@@ -227,7 +221,7 @@
         if self.framing != Framing::Chunked {
             return RelayOutcome::Complete;
         }
-        write_to_caller(caller, b"0\r\n\r\n").await.err().unwrap_or(RelayOutcome::Complete)
+        write_to_caller(caller, LAST_CHUNK).await.err().unwrap_or(RelayOutcome::Complete)
     }
 
     /// Handles a target that failed during its answer. A resumable stream continues at another
--- a/src/gateway/tunnel.rs
+++ b/src/gateway/tunnel.rs
@@ -6,6 +6,11 @@
 //! the target's connection. A relay always connects to the target itself, never through another
 //! tunnel.
 //!
+//! An answer may end with its connection, so the relay has to say that the target has closed it: a
+//! relay that dies closes the tunnel in order as well. A router asks with `Tunnel-Framing: chunked`
+//! for the target's bytes in chunks, of which the last one says so, and a relay that frames them
+//! repeats the header. Without it the end of the tunnel counts as a failure of the relay.
+//!
 //! | status | meaning |
 //! | --- | --- |
 //! | 200 | the connection to the target is open |
@@ -20,7 +25,7 @@
 use std::time::Duration;
 
 use socket2::SockRef;
-use tokio::io::{AsyncReadExt, AsyncWriteExt, copy};
+use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt, copy};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::spawn_local;
 use tokio::time::{Instant, sleep, timeout};
@@ -30,7 +35,7 @@
 use super::front::CountGuard;
 use super::pool::UNACKED_TIMEOUT;
 use super::state::{Gateway, Phase, Platform};
-use crate::http1::Conn;
+use crate::http1::{BodyDecoder, Conn, LAST_CHUNK, RelayFraming, append_chunk, header};
 use crate::stats::ReasonLabel;
 
 /// Time limit for opening a tunnel: the connection to the relay, and the relay's connection to the
@@ -42,6 +47,12 @@
 const MAX_HEAD_BYTES: usize = 1_024;
 /// How long a relay waits for a router to close a tunnel whose target has closed it.
 const CLOSE_TIMEOUT: Duration = Duration::from_secs(1);
+/// Header with the framing of the target's bytes.
+const FRAMING: &str = "Tunnel-Framing";
+/// The only framing.
+const CHUNKED: &str = "chunked";
+/// The maximum number of a target's bytes in one chunk.
+const CHUNK_BYTES: usize = 8 * 1024;
 /// Number of connections that a tunnel occupies at its relay.
 const CONNECTIONS_PER_TUNNEL: usize = 2;
 
@@ -68,11 +79,17 @@
 ) -> Result<Conn, TunnelError> {
     let opened = async {
         let mut conn = Conn::dial_from(from, relay, UNACKED_TIMEOUT).await.ok()?;
-        let request =
-            format!("CONNECT {target_digest:016x} HTTP/1.1\r\nHost: {target_digest:016x}\r\n\r\n");
+        let request = format!(
+            "CONNECT {target_digest:016x} HTTP/1.1\r\nHost: {target_digest:016x}\r\n\
+             {FRAMING}: {CHUNKED}\r\n\r\n"
+        );
         conn.write(request.as_bytes()).await.ok()?;
         let head = conn.read_response(MAX_HEAD_BYTES).await.ok()?;
-        Some((conn, head.status))
+        let framing = match header(&head.headers, FRAMING) {
+            Some(CHUNKED) => RelayFraming::Chunked(BodyDecoder::chunked()),
+            _ => RelayFraming::Unmarked,
+        };
+        Some((conn.behind_relay(framing), head.status))
     };
     match timeout(OPEN_TIMEOUT, opened).await {
         Ok(Some((conn, 200))) => Ok(conn),
@@ -108,18 +125,23 @@
     let began = Instant::now();
     let Ok(mut router) = Conn::new(io, UNACKED_TIMEOUT) else { return };
     let opened = match requested_target(&gw, &mut router).await {
-        Ok(backend) => open_target(&gw, &backend).await.map(|conn| (backend, conn)),
+        Ok((backend, is_framed)) => {
+            open_target(&gw, &backend).await.map(|conn| (backend, conn, is_framed))
+        }
         Err(rejection) => Err(rejection),
     };
     let outcome = opened.as_ref().err().map_or("opened", |(_, reason)| reason);
     gw.stats.tunnels_served.get_or_create(&ReasonLabel { reason: outcome }).inc();
     match opened {
-        Ok((backend, target)) => {
+        Ok((backend, target, is_framed)) => {
             let target_id = backend.id();
-            if router.write(b"HTTP/1.1 200 Connection Established\r\n\r\n").await.is_err() {
+            let framing =
+                if is_framed { format!("{FRAMING}: {CHUNKED}\r\n") } else { String::new() };
+            let response = format!("HTTP/1.1 200 Connection Established\r\n{framing}\r\n");
+            if router.write(response.as_bytes()).await.is_err() {
                 return;
             }
-            let ended = splice(router, target).await;
+            let ended = splice(router, target, is_framed).await;
             let ms = began.elapsed().as_millis();
             gw.log.routine(
                 "tunnel",
@@ -137,11 +159,11 @@
     }
 }
 
-/// Reads which target a router wants to reach.
+/// Reads which target a router wants to reach, and whether it wants the target's bytes in chunks.
 async fn requested_target<P: Platform>(
     gw: &Gateway<P>,
     router: &mut Conn,
-) -> Result<Rc<Backend>, Rejection> {
+) -> Result<(Rc<Backend>, bool), Rejection> {
     let head = timeout(HEAD_TIMEOUT, router.read_request(MAX_HEAD_BYTES)).await;
     let Ok(Ok(head)) = head else { return Err((400, "malformed")) };
     if head.method != "CONNECT" {
@@ -157,7 +179,9 @@
     if gw.path.is_partitioned() {
         return Err((503, "partitioned"));
     }
-    gw.targets.by_digest(digest).ok_or((404, "unknown_target"))
+    let is_framed = header(&head.headers, FRAMING) == Some(CHUNKED);
+    let backend = gw.targets.by_digest(digest).ok_or((404, "unknown_target"))?;
+    Ok((backend, is_framed))
 }
 
 async fn open_target<P: Platform>(
@@ -174,8 +198,26 @@
     }
 }
 
-/// Copies bytes in both directions until one side closes. Returns which one did.
-async fn splice(router: Conn, target: Conn) -> &'static str {
+/// Copies bytes in chunks until their end, without the last chunk.
+async fn copy_chunks(
+    from: &mut (impl AsyncRead + Unpin),
+    to: &mut (impl AsyncWrite + Unpin),
+) -> io::Result<()> {
+    let (mut piece, mut chunk) = (vec![0; CHUNK_BYTES], Vec::new());
+    loop {
+        let n = from.read(&mut piece).await?;
+        if n == 0 {
+            return Ok(());
+        }
+        chunk.clear();
+        append_chunk(&mut chunk, &piece[..n]);
+        to.write_all(&chunk).await?;
+    }
+}
+
+/// Copies bytes in both directions until one side closes; the target's in chunks if `is_framed` is
+/// set. Returns which side did.
+async fn splice(router: Conn, target: Conn, is_framed: bool) -> &'static str {
     let (mut router, from_router) = router.into_parts();
     let (mut target, from_target) = target.into_parts();
     let (mut router_rd, mut router_wr) = router.split();
@@ -185,8 +227,13 @@
         copy(&mut router_rd, &mut target_wr).await
     };
     let down = async {
-        router_wr.write_all(&from_target).await?;
-        copy(&mut target_rd, &mut router_wr).await
+        let mut target_rd = from_target.as_ref().chain(&mut target_rd);
+        if is_framed {
+            copy_chunks(&mut target_rd, &mut router_wr).await?;
+            router_wr.write_all(LAST_CHUNK).await
+        } else {
+            copy(&mut target_rd, &mut router_wr).await.map(drop)
+        }
     };
     let ended = tokio::select! {
         // The request is cancelled: closing the target's connection stops its work.
--- a/src/http1/body.rs
+++ b/src/http1/body.rs
@@ -121,6 +121,21 @@
     }
 }
 
+/// The chunk that ends a body with chunked transfer coding.
+pub const LAST_CHUNK: &[u8] = b"0\r\n\r\n";
+
+/// Appends `piece` as one chunk; nothing if it is empty, because an empty chunk ends the body.
+pub fn append_chunk(out: &mut Vec<u8>, piece: &[u8]) {
+    use std::io::Write;
+    if piece.is_empty() {
+        return;
+    }
+    // Writing into a vector cannot fail.
+    let _ = write!(out, "{:x}\r\n", piece.len());
+    out.extend_from_slice(piece);
+    out.extend_from_slice(b"\r\n");
+}
+
 /// Takes up to `left` bytes; returns them and the number of bytes still missing.
 fn take_up_to(buf: &mut BytesMut, left: u64) -> (Bytes, u64) {
     let n = usize::try_from(left).unwrap_or(usize::MAX).min(buf.len());
--- a/src/http1/conn.rs
+++ b/src/http1/conn.rs
@@ -31,6 +31,16 @@
     TooLong,
 }
 
+/// How a relay frames the bytes of the connection behind it. A relay that dies closes its own
+/// connections in order, so their end alone does not say that the peer has closed.
+#[derive(Debug)]
+pub enum RelayFraming {
+    /// Chunks; the last one says that the peer has closed the connection.
+    Chunked(BodyDecoder),
+    /// Bytes as they are. Their end counts as a failure of the relay.
+    Unmarked,
+}
+
 /// A TCP connection with a buffer of bytes that were read but not yet consumed.
 #[derive(Debug)]
 pub struct Conn {
@@ -42,6 +52,10 @@
     has_unsent: bool,
     /// The rest of a request, which is written while the answer is waited for.
     unsent: Bytes,
+    /// `None` if the connection is direct.
+    relay_framing: Option<RelayFraming>,
+    /// Bytes of a relay that are not decoded yet.
+    relayed: BytesMut,
 }
 
 impl Conn {
@@ -57,7 +71,15 @@
         sock.set_tcp_user_timeout(Some(unacked_timeout))?;
         let probe = Duration::from_secs(unacked_timeout.as_secs().max(1));
         sock.set_tcp_keepalive(&TcpKeepalive::new().with_time(probe).with_interval(probe))?;
-        Ok(Conn { io, buf: BytesMut::new(), eof: false, has_unsent: false, unsent: Bytes::new() })
+        Ok(Conn {
+            io,
+            buf: BytesMut::new(),
+            eof: false,
+            has_unsent: false,
+            unsent: Bytes::new(),
+            relay_framing: None,
+            relayed: BytesMut::new(),
+        })
     }
 
     /// Connects to `addr`.
@@ -83,12 +105,61 @@
         Conn::new(sock.connect(addr).await?, unacked_timeout)
     }
 
-    /// Reads more bytes, and meanwhile writes the rest of a request. Cancel safe: no byte is lost.
+    /// The connection through a relay, after the relay's response was read.
+    pub fn behind_relay(mut self, framing: RelayFraming) -> Conn {
+        self.relayed = std::mem::take(&mut self.buf);
+        if matches!(framing, RelayFraming::Unmarked) {
+            std::mem::swap(&mut self.buf, &mut self.relayed);
+        }
+        self.relay_framing = Some(framing);
+        self
+    }
+
+    /// Reads more bytes, and meanwhile writes the rest of a request. Returns 0 once the peer has
+    /// closed the connection. Cancel safe: no byte is lost.
     async fn fill(&mut self) -> io::Result<usize> {
+        loop {
+            if let Some(n) = self.decode_relayed()? {
+                return Ok(n);
+            }
+            let n = self.receive().await?;
+            match self.relay_framing {
+                None => {
+                    self.eof |= n == 0;
+                    return Ok(n);
+                }
+                Some(_) if n == 0 => return Err(io::ErrorKind::UnexpectedEof.into()),
+                Some(RelayFraming::Unmarked) => return Ok(n),
+                Some(RelayFraming::Chunked(_)) => (),
+            }
+        }
+    }
+
+    /// Moves the payload of received chunks into the buffer. Returns its length, 0 at the last
+    /// chunk; `None` if more bytes are needed, or there are no chunks.
+    fn decode_relayed(&mut self) -> io::Result<Option<usize>> {
+        let Some(RelayFraming::Chunked(chunks)) = &mut self.relay_framing else { return Ok(None) };
+        let before = self.buf.len();
+        loop {
+            let step = chunks.decode(&mut self.relayed);
+            let n = self.buf.len() - before;
+            match step {
+                Step::Piece(piece) => self.buf.extend_from_slice(&piece),
+                Step::NeedMore => return Ok((n > 0).then_some(n)),
+                Step::Done => {
+                    self.eof |= n == 0;
+                    return Ok(Some(n));
+                }
+                Step::Invalid => return Err(io::ErrorKind::InvalidData.into()),
+            }
+        }
+    }
+
+    /// Receives bytes from the socket, and meanwhile writes the rest of a request.
+    async fn receive(&mut self) -> io::Result<usize> {
         if self.buf.is_empty() && self.buf.capacity() > MAX_READ_AHEAD_BYTES {
             self.buf = BytesMut::new();
         }
-        self.buf.reserve(READ_CHUNK_BYTES);
         while !self.unsent.is_empty() {
             let ready = self.io.ready(Interest::READABLE | Interest::WRITABLE).await?;
             if ready.is_writable()
@@ -98,18 +169,23 @@
                 log::debug!("conn unsent={} error={e}", self.unsent.len());
                 self.unsent.clear();
             }
-            match self.io.try_read_buf(&mut self.buf) {
-                Ok(n) => {
-                    self.eof |= n == 0;
-                    return Ok(n);
-                }
+            let (io, buf) = self.receive_buf();
+            match io.try_read_buf(buf) {
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => (),
-                Err(e) => return Err(e),
+                received => return received,
             }
         }
-        let n = self.io.read_buf(&mut self.buf).await?;
-        self.eof |= n == 0;
-        Ok(n)
+        let (io, buf) = self.receive_buf();
+        io.read_buf(buf).await
+    }
+
+    fn receive_buf(&mut self) -> (&mut TcpStream, &mut BytesMut) {
+        let buf = match self.relay_framing {
+            Some(RelayFraming::Chunked(_)) => &mut self.relayed,
+            Some(RelayFraming::Unmarked) | None => &mut self.buf,
+        };
+        buf.reserve(READ_CHUNK_BYTES);
+        (&mut self.io, buf)
     }
 
     /// Whether all bytes that were read are consumed.
@@ -120,7 +196,7 @@
     /// Whether an idle connection can carry a request: it is open, the request before was written
     /// whole, and it holds no unexpected bytes, which would be taken for the next answer.
     pub fn is_reusable(&mut self) -> bool {
-        if self.eof || self.has_unsent || !self.buf.is_empty() {
+        if self.eof || self.has_unsent || !self.buf.is_empty() || !self.relayed.is_empty() {
             return false;
         }
         let mut byte = [0];
--- a/src/http1/mod.rs
+++ b/src/http1/mod.rs
@@ -9,8 +9,8 @@
 mod conn;
 mod head;
 
-pub use body::{BodyDecoder, Step};
-pub use conn::{Conn, HeadError};
+pub use body::{BodyDecoder, LAST_CHUNK, Step, append_chunk};
+pub use conn::{Conn, HeadError, RelayFraming};
 pub use head::{
     Header, InvalidHead, RequestHead, ResponseHead, header, keep_alive_seconds, parse_request,
     parse_response, tokens,
--- a/tests/test_gateway_partition.rs
+++ b/tests/test_gateway_partition.rs
@@ -1,7 +1,9 @@
 //! Routers that are partitioned from the targets, while callers, the store and other routers reach
 //! them.
 
+use std::cell::Cell;
 use std::net::{IpAddr, SocketAddr};
+use std::rc::Rc;
 use std::time::Duration;
 
 use kingcupwall::gateway::backend::target_digest;
@@ -15,11 +17,12 @@
 use kingcupwall::standin::gateway_target::{StandinTarget, TargetFault};
 use kingcupwall::standin::proxy::{Partition, Proxy};
 use rstest::rstest;
-use tokio::net::TcpSocket;
+use tokio::io::{AsyncReadExt, copy};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::task::spawn_local;
 use tokio::time::{Instant, sleep};
 
-use crate::gateway_fleet::{Call, eventually, run_local};
+use crate::gateway_fleet::{Call, CallResult, eventually, run_local};
 
 /// Time after which a partitioned router must serve like the others.
 const DETECTION_TIME: Duration = Duration::from_secs(3);
@@ -353,6 +356,94 @@
     conn.read_response(1_024).await.map_or(0, |head| head.status)
 }
 
+/// Relays one connection to `relay` and ends it in order after `limit` bytes towards the router, like
+/// the kernel of a relay that is killed. Counts these bytes in `relayed`.
+async fn relay_up_to(relay: SocketAddr, limit: u64, relayed: Rc<Cell<u64>>) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let addr = listener.local_addr().unwrap();
+    spawn_local(async move {
+        let (mut router, _) = listener.accept().await.unwrap();
+        let mut upstream = TcpStream::connect(relay).await.unwrap();
+        let (mut router_rd, mut router_wr) = router.split();
+        let (upstream_rd, mut upstream_wr) = upstream.split();
+        let mut upstream_rd = upstream_rd.take(limit);
+        tokio::select! {
+            _ = copy(&mut router_rd, &mut upstream_wr) => (),
+            n = copy(&mut upstream_rd, &mut router_wr) => relayed.set(n.unwrap()),
+        }
+    });
+    addr
+}
+
+/// Reads one answer of the target `t0` through a tunnel. Returns whether it is complete.
+async fn tunnelled_answer(relay: SocketAddr, path: &str) -> bool {
+    let opened = tunnel::open("127.0.0.1".parse().unwrap(), relay, target_digest("t0")).await;
+    let Ok(mut conn) = opened else { return false };
+    let call = Call::get(path).tokens(10, 10).with_header("Expect-Target: t0");
+    conn.write(&call.bytes()).await.unwrap();
+    CallResult::read(&mut conn).await.is_complete
+}
+
+/// Guards against a truncated answer that passes as complete, because a relay that is killed closes
+/// its connections in order.
+#[test]
+fn tunnel_cut_anywhere_is_incomplete() {
+    run_local(async {
+        let fleet = Fleet::start(&["zone-1", "zone-1"], 0, None).await;
+        let relay = fleet.routers[1].gw.settings.peer;
+        let answer = async |limit, relayed: &Rc<Cell<u64>>| {
+            fleet.targets[0].fail(&[TargetFault::UnframedStream]);
+            tunnelled_answer(relay_up_to(relay, limit, relayed.clone()).await, "/stream/a").await
+        };
+        let whole = Rc::new(Cell::new(0));
+        assert!(answer(u64::MAX, &whole).await);
+        eventually("the end of the tunnel", || whole.get() > 0).await;
+        for limit in 0..whole.get() {
+            assert!(!answer(limit, &Rc::default()).await, "{limit} of {whole:?}");
+        }
+    });
+}
+
+/// Guards against the same behind a relay of a version that does not mark the end, and against losing
+/// the answers whose end shows in themselves.
+#[rstest]
+#[case::ends_with_connection("", false)]
+#[case::with_length("Content-Length: 2\r\n", true)]
+fn tunnel_through_relay_without_framing(#[case] header: &'static str, #[case] complete: bool) {
+    run_local(async move {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let relay = listener.local_addr().unwrap();
+        spawn_local(async move {
+            let (io, _) = listener.accept().await.unwrap();
+            let mut conn = Conn::new(io, Duration::from_secs(5)).unwrap();
+            conn.read_request(1_024).await.unwrap();
+            conn.write(b"HTTP/1.1 200 OK\r\n\r\n").await.unwrap();
+            conn.read_request(1_024).await.unwrap();
+            let answer = format!("HTTP/1.1 200 OK\r\n{header}\r\nok");
+            conn.write(answer.as_bytes()).await.unwrap();
+        });
+        assert_eq!(tunnelled_answer(relay, "/safe/a").await, complete);
+    });
+}
+
+/// Guards against a relay that frames the bytes for a router of a version that does not ask for it.
+#[test]
+fn tunnel_for_router_without_framing() {
+    run_local(async {
+        let fleet = Fleet::start(&["zone-1", "zone-1"], 0, None).await;
+        let relay = fleet.routers[1].gw.settings.peer;
+        let mut conn = Conn::dial(relay, Duration::from_secs(5)).await.unwrap();
+        let digest = target_digest("t0");
+        let connect = format!("CONNECT {digest:016x} HTTP/1.1\r\nHost: {digest:016x}\r\n\r\n");
+        conn.write(connect.as_bytes()).await.unwrap();
+        assert_eq!(conn.read_response(1_024).await.unwrap().status, 200);
+        let call = Call::get("/safe/a").with_header("Expect-Target: t0");
+        conn.write(&call.bytes()).await.unwrap();
+        let got = CallResult::read(&mut conn).await;
+        assert_eq!((got.status(), got.body.as_str()), (200, "answer of t0 to q1"));
+    });
+}
+
 #[test]
 fn tunnel_rejects_other_requests() {
     // Guards against a relay that connects strangers, or connects to something else than a target.
