Broken answers over HTTP/1.0 end with a reset

Callers saw: a stream that broke off as a complete one, if they speak HTTP/1.0.

Cause: such an answer has neither a length nor chunks, and its connection was closed in order however the relay ended. Conn::abort existed and had no caller.

Fix: the connection is set to be reset on close for as long as the answer is incomplete, so a kill of this process resets it as well.

The test failed before and passes now; a complete answer still ends in order.

--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -138,6 +138,9 @@
         Some(_) => Framing::UntilClose,
     };
     keep_alive &= framing != Framing::UntilClose;
+    if framing == Framing::UntilClose {
+        caller.set_reset_on_close(true);
+    }
     let mut out = encode_head(&head, framing, keep_alive);
     append_framed(&mut out, framing, &first_bytes);
     if let Some(events) = remaining.as_ref().and_then(|r| r.stream.as_ref()).map(|s| s.events) {
@@ -151,6 +154,9 @@
     let mut ongoing = OngoingRelay { remaining, head, in_flight, framing };
     let ended = ongoing.run(job, caller).await;
     if ended == RelayOutcome::Complete {
+        if framing == Framing::UntilClose {
+            caller.set_reset_on_close(false);
+        }
         let OngoingRelay { remaining, head, in_flight, .. } = ongoing;
         in_flight.backend().pool.borrow_mut().put(remaining.conn, remaining.via, &head);
         return (ended, keep_alive);
--- a/src/http1/conn.rs
+++ b/src/http1/conn.rs
@@ -353,14 +353,13 @@
         (self.io, self.buf)
     }
 
-    /// Closes the connection with a reset, so that the peer cannot take an incomplete message for a
-    /// complete one.
-    pub fn abort(self) {
+    /// Sets whether the connection is closed with a reset, also by the end of this process, so that
+    /// the peer cannot take an incomplete message for a complete one.
+    pub fn set_reset_on_close(&self, resets: bool) {
         // A linger time of zero makes closing send a reset. If the option cannot be set, the
-        // connection is closed normally; chunked and sized bodies still show that they are
-        // incomplete.
-        if let Err(e) = SockRef::from(&self.io).set_linger(Some(Duration::ZERO)) {
-            log::debug!("conn abort error={e}");
+        // connection is closed in order.
+        if let Err(e) = SockRef::from(&self.io).set_linger(resets.then_some(Duration::ZERO)) {
+            log::debug!("conn linger error={e}");
         }
     }
 }
--- a/tests/test_gateway.rs
+++ b/tests/test_gateway.rs
@@ -267,6 +267,24 @@
     });
 }
 
+/// Guards against a stream that breaks off and passes as complete, because a caller of HTTP/1.0
+/// knows its end by the close of the connection only.
+#[rstest]
+#[case::whole(None)]
+#[case::cut(Some(TargetFault::CutsStream(3)))]
+fn stream_over_http10(#[case] fault: Option<TargetFault>) {
+    run_local(async move {
+        let fleet = Fleet::start(1, 10_000).await;
+        fleet.targets[0].fail(fault.as_slice());
+        let call = String::from_utf8(Call::get("/stream/a").tokens(100, 20).bytes()).unwrap();
+        let mut conn = Conn::dial(fleet.router.front, Duration::from_secs(5)).await.unwrap();
+        conn.write(call.replace("HTTP/1.1", "HTTP/1.0").as_bytes()).await.unwrap();
+        let got = CallResult::read(&mut conn).await;
+        let events = if fault.is_some() { 3 } else { 10 };
+        assert_eq!((got.is_complete, got.events().len()), (fault.is_none(), events));
+    });
+}
+
 #[test]
 fn stream_caller_leaves() {
     // Targets must not keep working for callers that disconnected.
