Request bodies count towards the memory before they are read

Cause: the memory for bodies was compared with its limit before a body was read and raised afterwards; a chunked body was not compared at all.

Fix: the stated length is counted before the first byte is read, a chunked body piece by piece, and what does not fit is refused at once.

--- a/soak/src/callers.rs
+++ b/soak/src/callers.rs
@@ -236,7 +236,7 @@
     let request = format!("GET /resolve?name={HOST}&zone={zone} HTTP/1.1\r\nHost: entry\r\n\r\n");
     conn.write(request.as_bytes()).await.ok()?;
     let head = conn.read_response(16 * 1024).await.ok()?;
-    let body = conn.read_body(head.body, 64 * 1024).await.ok()??;
+    let body = conn.read_body(head.body, |n| n <= 64 * 1024).await.ok()??;
     let reply: Value = serde_json::from_slice(&body).ok()?;
     let addresses = reply["addresses"].as_array()?;
     Some(addresses.iter().filter_map(|a| a.as_str()?.parse().ok()).collect())
--- a/soak/src/store.rs
+++ b/soak/src/store.rs
@@ -33,7 +33,9 @@
         spawn_local(async move {
             let Ok(mut conn) = Conn::new(io, ACK_TIMEOUT) else { return };
             while let Ok(head) = conn.read_request(64 * 1024).await {
-                let Ok(Some(body)) = conn.read_body(head.body, MAX_BYTES).await else { return };
+                let Ok(Some(body)) = conn.read_body(head.body, |n| n <= MAX_BYTES).await else {
+                    return;
+                };
                 // A lost answer is simulated by closing the connection without a response.
                 let Some(reply) = handle_call(&rows, &links, &head.target, &body).await else {
                     return;
--- a/src/gateway/front.rs
+++ b/src/gateway/front.rs
@@ -21,6 +21,9 @@
 /// Time limit for a request body if the caller states no time limit of its own.
 const DEFAULT_BODY_TIMEOUT: Duration = Duration::from_secs(10);
 
+/// `Retry-After` when the memory for bodies is full.
+const BODY_MEMORY_RETRY_AFTER: Duration = Duration::from_millis(300);
+
 /// Accepts connections until a planned stop reaches [`Phase::Finishing`].
 pub async fn accept<P: Platform>(gw: Rc<Gateway<P>>, listener: TcpListener) {
     let mut phase = gw.phase.subscribe();
@@ -46,14 +49,43 @@
     }
 }
 
+/// Guard that counts the bytes of a request body towards the memory for bodies until it is dropped.
+struct HeldBody<'a, P: Platform> {
+    gw: &'a Gateway<P>,
+    bytes: u64,
+}
+
+impl<P: Platform> HeldBody<'_, P> {
+    /// Counts the body as `len` bytes long, before they are read.
+    ///
+    /// # Errors
+    /// The response that refuses the request.
+    fn grow_to(&mut self, len: u64) -> Result<(), RouterResponse> {
+        if len > self.gw.limits().body_bytes {
+            return Err(RouterResponse::new(413, "body_too_long"));
+        }
+        let all = self.gw.body_bytes.get() - self.bytes + len;
+        if all > self.gw.settings.body_memory {
+            return Err(RouterResponse::refusal("no_memory_for_body", BODY_MEMORY_RETRY_AFTER));
+        }
+        self.gw.body_bytes.set(all);
+        self.bytes = len;
+        Ok(())
+    }
+}
+
+impl<P: Platform> Drop for HeldBody<'_, P> {
+    fn drop(&mut self) {
+        self.gw.body_bytes.set(self.gw.body_bytes.get() - self.bytes);
+    }
+}
+
 /// Guard that counts an open connection or an active request until it is dropped.
 pub(super) struct CountGuard<'a, P: Platform>(&'a Gateway<P>, Kind);
 
 enum Kind {
     Connection,
     Request,
-    /// A request body of this many bytes.
-    Body(u64),
     /// A request of another router's caller, with this many connections.
     Tunnel(usize),
 }
@@ -70,11 +102,6 @@
         CountGuard(gw, Kind::Request)
     }
 
-    fn body(gw: &'a Gateway<P>, bytes: u64) -> CountGuard<'a, P> {
-        gw.body_bytes.set(gw.body_bytes.get() + bytes);
-        CountGuard(gw, Kind::Body(bytes))
-    }
-
     /// Counts a tunnel, which occupies `connections` connections.
     pub(super) fn tunnel(gw: &'a Gateway<P>, connections: usize) -> CountGuard<'a, P> {
         gw.open_connections.set(gw.open_connections.get() + connections);
@@ -89,7 +116,6 @@
         match self.1 {
             Kind::Connection => gw.open_connections.set(gw.open_connections.get() - 1),
             Kind::Request => request_ended(gw),
-            Kind::Body(bytes) => gw.body_bytes.set(gw.body_bytes.get() - bytes),
             Kind::Tunnel(connections) => {
                 gw.open_connections.set(gw.open_connections.get() - connections);
                 request_ended(gw);
@@ -161,35 +187,32 @@
     None
 }
 
-/// Reads the body of a request.
+/// Reads the body of a request. Its memory is counted before it is read.
 ///
 /// # Errors
 /// The response that refuses the request, or `None` if the connection broke.
-async fn read_body<P: Platform>(
-    gw: &Gateway<P>,
+async fn read_body<'a, P: Platform>(
+    gw: &'a Gateway<P>,
     conn: &mut Conn,
     head: &RequestHead,
     meta: &RequestMeta,
-) -> Result<Bytes, Option<RouterResponse>> {
+) -> Result<(Bytes, HeldBody<'a, P>), Option<RouterResponse>> {
+    let mut held = HeldBody { gw, bytes: 0 };
     if head.body.is_done() {
-        return Ok(Bytes::new());
-    }
-    let max = gw.limits().body_bytes;
-    if head.body.known_length().is_some_and(|n| n > max) {
-        return Err(Some(RouterResponse::new(413, "body_too_long")));
+        return Ok((Bytes::new(), held));
     }
-    let expected = head.body.known_length().unwrap_or(0);
-    if gw.body_bytes.get() + expected > gw.settings.body_memory {
-        let soon = Duration::from_millis(300);
-        return Err(Some(RouterResponse::refusal("no_memory_for_body", soon)));
+    if let Some(len) = head.body.known_length() {
+        held.grow_to(len).map_err(Some)?;
     }
     if head.expects_continue && conn.is_buffer_empty() {
         conn.write(b"HTTP/1.1 100 Continue\r\n\r\n").await.map_err(|_| None)?;
     }
     let time = meta.time_left.unwrap_or(DEFAULT_BODY_TIMEOUT);
-    match timeout(time, conn.read_body(head.body, max)).await {
-        Ok(Ok(Some(body))) => Ok(body),
-        Ok(Ok(None)) => Err(Some(RouterResponse::new(413, "body_too_long"))),
+    let mut refusal = None;
+    let admits = |len| held.grow_to(len).map_err(|response| refusal = Some(response)).is_ok();
+    match timeout(time, conn.read_body(head.body, admits)).await {
+        Ok(Ok(Some(body))) => Ok((body, held)),
+        Ok(Ok(None)) => Err(refusal),
         Ok(Err(e)) if e.kind() == std::io::ErrorKind::InvalidData => {
             Err(Some(RouterResponse::new(400, "malformed_body")))
         }
@@ -207,8 +230,8 @@
 ) -> bool {
     gw.requests_since_sample.set(gw.requests_since_sample.get().saturating_add(1));
     let meta = RequestMeta::read(gw.platform.header_names(), &head.headers);
-    let body = match read_body(gw, conn, head, &meta).await {
-        Ok(body) => body,
+    let (body, _held) = match read_body(gw, conn, head, &meta).await {
+        Ok(read) => read,
         Err(response) => {
             if let Some(response) = response {
                 gw.log.note(
@@ -224,7 +247,6 @@
             return false;
         }
     };
-    let _held = CountGuard::body(gw, body.len() as u64);
     let id = meta.id.clone();
     let admitted = tokio::select! {
         biased;
--- a/src/http1/conn.rs
+++ b/src/http1/conn.rs
@@ -270,32 +270,32 @@
         }
     }
 
-    /// Reads a complete body of at most `max` bytes; `None` if it is longer.
+    /// Reads a complete body. `admits` is asked for each length that the body reaches, and for its
+    /// whole length at once if that is known; `None` if it returns `false`.
     ///
     /// # Errors
     /// As [`Conn::read_piece`].
     pub async fn read_body(
         &mut self,
         mut body: BodyDecoder,
-        max: u64,
+        mut admits: impl FnMut(u64) -> bool,
     ) -> io::Result<Option<Bytes>> {
-        if body.known_length().is_some_and(|n| n > max) {
+        let known = body.known_length();
+        if known.is_some_and(|n| !admits(n)) {
             return Ok(None);
         }
-        let Some(first) = self.read_piece(&mut body).await? else {
-            return Ok(Some(Bytes::new()));
-        };
-        if body.is_done() {
-            return Ok(Some(first));
-        }
-        let left = body.known_length().unwrap_or(0).min(max);
-        let mut whole = BytesMut::with_capacity(first.len() + usize::try_from(left).unwrap_or(0));
-        whole.extend_from_slice(&first);
+        let mut whole = BytesMut::new();
         while let Some(piece) = self.read_piece(&mut body).await? {
-            whole.extend_from_slice(&piece);
-            if whole.len() as u64 > max {
+            if whole.is_empty() && body.is_done() {
+                return Ok(Some(piece));
+            }
+            if known.is_none() && !admits((whole.len() + piece.len()) as u64) {
                 return Ok(None);
             }
+            if whole.is_empty() {
+                whole.reserve(usize::try_from(known.unwrap_or(0)).unwrap_or(0));
+            }
+            whole.extend_from_slice(&piece);
         }
         Ok(Some(whole.freeze()))
     }
--- a/src/standin/gateway_target.rs
+++ b/src/standin/gateway_target.rs
@@ -392,7 +392,9 @@
                     }
                     None => (),
                 }
-                let Ok(Some(body)) = conn.read_body(head.body, MAX_BODY_LEN).await else { return };
+                let Ok(Some(body)) = conn.read_body(head.body, |n| n <= MAX_BODY_LEN).await else {
+                    return;
+                };
                 if !self.answer(&mut conn, &head, body).await {
                     return;
                 }
@@ -426,7 +428,9 @@
         };
         let reads_on = self.shared.borrow().reads_on.clone();
         reads_on.notified().await;
-        let Ok(Some(body)) = conn.read_body(head.body, MAX_BODY_LEN).await else { return false };
+        let Ok(Some(body)) = conn.read_body(head.body, |n| n <= MAX_BODY_LEN).await else {
+            return false;
+        };
         self.shared.borrow_mut().late_bodies.push(body);
         answered
     }
--- a/tests/test_gateway.rs
+++ b/tests/test_gateway.rs
@@ -211,6 +211,38 @@
     });
 }
 
+/// Begins a request whose body is to follow once the router agrees.
+async fn begin_call(fleet: &Fleet, framing: &str) -> Conn {
+    let call = Call::get("/once/a").with_header("Expect: 100-continue").with_header(framing);
+    let mut conn = Conn::dial(fleet.router.front, Duration::from_secs(5)).await.unwrap();
+    conn.write(&call.bytes()).await.unwrap();
+    assert!(conn.wait_for_data().await.unwrap());
+    conn
+}
+
+/// Guards against a router that is killed for its memory, because bodies that arrive together are
+/// counted only once they are read.
+#[test]
+fn bodies_that_arrive_together_are_bounded() {
+    run_local(async {
+        let fleet = Fleet::start(1, 1_000).await;
+        let (limit, memory) = (fleet.router.gw.limits().body_bytes, &fleet.router.gw.body_bytes);
+        let fitting = fleet.router.gw.settings.body_memory / limit;
+        let length = format!("Content-Length: {limit}");
+        let mut arriving = Vec::new();
+        for _ in 0..fitting {
+            arriving.push(begin_call(&fleet, &length).await);
+        }
+        let mut refused = begin_call(&fleet, "Content-Length: 1").await;
+        assert_eq!(CallResult::read(&mut refused).await.status(), 503);
+        let mut chunked = begin_call(&fleet, "Transfer-Encoding: chunked").await;
+        chunked.write(b"1\r\nx\r\n").await.unwrap();
+        assert_eq!(CallResult::read(&mut chunked).await.status(), 503);
+        drop(arriving);
+        eventually("the release of the memory", || memory.get() == 0).await;
+    });
+}
+
 #[test]
 fn stream_whole() {
     run_local(async {
