A resumed stream ends at its first target before it goes on elsewhere

Callers saw: nothing; a stream whose first target sent invalid bytes ran at two targets at once, for as long as the second took for its first event.

Cause: the connection to the first target was closed only when the resumed answer replaced it.

Evidence: in stream_closed_before_resumed_elsewhere the first run goes on until the caller's time is over, while the second target hangs. Ruled out: a target that does not notice the close.

Fix: resume_at_other_target takes the broken answer by value and closes its connection first.

--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -4,14 +4,13 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use compact_str::CompactString;
 use tokio::time::{timeout, timeout_at};
 
 use super::catalog::RouteKind;
 use super::forward::{Job, OrDash};
 use super::liveness::await_probe;
 use super::refusal::RouterResponse;
-use super::reply::{RemainingBody, Reply};
+use super::reply::{RemainingBody, Reply, StreamProgress};
 use super::request::{is_hop_by_hop, write_header_line};
 use super::state::{Phase, Platform};
 use crate::http1::{Conn, LAST_CHUNK, ResponseHead, append_chunk};
@@ -152,7 +151,15 @@
     }
     let Some(remaining) = remaining else { return (RelayOutcome::Complete, keep_alive) };
     let mut ongoing = OngoingRelay { remaining, head, in_flight, framing };
-    let ended = ongoing.run(job, caller).await;
+    let ended = loop {
+        match ongoing.run(job, caller).await {
+            Ok(ended) => break ended,
+            Err(TargetFailed) => match ongoing.resume_at_other_target(job, caller).await {
+                Ok(resumed) => ongoing = resumed,
+                Err(ended) => return (ended, false),
+            },
+        }
+    };
     if ended == RelayOutcome::Complete {
         if framing == Framing::UntilClose {
             caller.set_reset_on_close(false);
@@ -172,29 +179,34 @@
     framing: Framing,
 }
 
+/// The target of an answer failed before its end.
+struct TargetFailed;
+
 impl OngoingRelay {
-    async fn run<P: Platform>(&mut self, job: &mut Job<'_, P>, caller: &mut Conn) -> RelayOutcome {
+    /// Relays the answer until it ends.
+    async fn run<P: Platform>(
+        &mut self,
+        job: &mut Job<'_, P>,
+        caller: &mut Conn,
+    ) -> Result<RelayOutcome, TargetFailed> {
         loop {
             let step = tokio::select! {
                 biased;
                 piece = timeout_at(job.answer_deadline, self.remaining.conn.read_piece(&mut self.remaining.body)) => piece,
-                () = caller.wait_closed() => return RelayOutcome::CallerLeft,
+                () = caller.wait_closed() => return Ok(RelayOutcome::CallerLeft),
             };
-            let Ok(piece) = step else { return RelayOutcome::TimedOut };
+            let Ok(piece) = step else { return Ok(RelayOutcome::TimedOut) };
             let written = match piece {
-                Ok(Some(piece)) => match self.forwardable(job, &piece) {
-                    Ok(Some(bytes)) => self.write(caller, &bytes).await,
-                    Ok(None) => Ok(()),
-                    Err(()) => self.resume_at_other_target(job, caller).await,
+                Ok(Some(piece)) => match self.forwardable(job, &piece)? {
+                    Some(bytes) => self.write(caller, &bytes).await,
+                    None => Ok(()),
                 },
-                Ok(None) if self.ends_within_event() => {
-                    self.resume_at_other_target(job, caller).await
-                }
-                Ok(None) => return self.finish(caller).await,
-                Err(_) => self.resume_at_other_target(job, caller).await,
+                Ok(None) if self.ends_within_event() => return Err(TargetFailed),
+                Ok(None) => return Ok(self.finish(caller).await),
+                Err(_) => return Err(TargetFailed),
             };
             if let Err(ended) = written {
-                return ended;
+                return Ok(ended);
             }
         }
     }
@@ -208,9 +220,9 @@
         &mut self,
         job: &mut Job<'_, P>,
         piece: &Bytes,
-    ) -> Result<Option<Bytes>, ()> {
+    ) -> Result<Option<Bytes>, TargetFailed> {
         let Some(stream) = &mut self.remaining.stream else { return Ok(Some(piece.clone())) };
-        let events = stream.push(piece).map_err(|_| ())?;
+        let events = stream.push(piece).map_err(|_| TargetFailed)?;
         if events.is_some() {
             job.charge(stream.events);
         }
@@ -234,31 +246,39 @@
     /// target of the same software version, after the last complete event that the caller received.
     /// Any other answer ends here, and the connection is closed so that the answer cannot pass as
     /// complete.
+    ///
+    /// The connection to the failed target is closed first: it may still work on the request, which
+    /// must not run at two targets at once.
     async fn resume_at_other_target<P: Platform>(
-        &mut self,
+        self,
         job: &mut Job<'_, P>,
         caller: &mut Conn,
-    ) -> Result<(), RelayOutcome> {
-        job.record_failure(self.in_flight.backend());
-        let Some(stream) = &self.remaining.stream else { return Err(RelayOutcome::Interrupted) };
-        let (last, events): (Option<CompactString>, u64) = (stream.last_id.clone(), stream.events);
+    ) -> Result<OngoingRelay, RelayOutcome> {
+        let OngoingRelay { remaining, in_flight, framing, .. } = self;
+        let stream = remaining.stream;
+        drop(remaining.conn);
+        job.record_failure(in_flight.backend());
+        let Some(StreamProgress { last_id: last, events, .. }) = stream else {
+            return Err(RelayOutcome::Interrupted);
+        };
         let may_resume = job.route.kind == RouteKind::ResumableStream
             && last.is_some()
             && job.send_counts.runs < job.route.max_attempts
             && job.can_continue()
             && job.gw.retries.borrow_mut().take(&job.service);
-        let (id, from) = (job.meta.id.clone(), self.in_flight.backend().id());
+        let (id, from) = (job.meta.id.clone(), in_flight.backend().id());
         job.gw.log.note(
             "stream_broken",
             format_args!(
                 "id={id} target={from} version={} events={events} last={last:?} resumes={may_resume}",
-                OrDash(self.in_flight.backend().version_name())
+                OrDash(in_flight.backend().version_name())
             ),
         );
-        let found = job.spawn_crash_check(self.in_flight.backend());
+        let found = job.spawn_crash_check(in_flight.backend());
         if !may_resume {
             return Err(RelayOutcome::Interrupted);
         }
+        drop(in_flight);
         await_probe(found).await;
         let reply = tokio::select! {
             biased;
@@ -275,9 +295,8 @@
         stream.events += events;
         stream.last_id = stream.last_id.take().or(last);
         job.charge(stream.events);
-        self.remaining = remaining;
-        self.head = head;
-        self.in_flight = in_flight;
-        self.write(caller, &first_bytes).await
+        let resumed = OngoingRelay { remaining, head, in_flight, framing };
+        resumed.write(caller, &first_bytes).await?;
+        Ok(resumed)
     }
 }
--- a/src/standin/gateway_target.rs
+++ b/src/standin/gateway_target.rs
@@ -63,6 +63,9 @@
     AnswersTwice,
     /// Closes the connection in the middle of an event, after this many complete events.
     CutsStream(u64),
+    /// Sends bytes that are no chunk after this many complete events, and works on until the
+    /// connection is closed.
+    SpoilsStream(u64),
     /// Sends a stream with neither a length nor chunks, which ends with the connection, in the
     /// middle of an event after this many complete ones.
     CutsUnframedStream(u64),
@@ -256,6 +259,11 @@
         self.shared.borrow_mut().faults.extend(faults);
     }
 
+    /// Replaces the queued faults.
+    pub fn set_faults(&self, faults: &[TargetFault]) {
+        self.shared.borrow_mut().faults = faults.iter().copied().collect();
+    }
+
     /// Sets the pause between two events of a stream. A fatal request also crashes this target
     /// after this time.
     pub fn set_event_gap(&self, gap: Duration) {
@@ -560,6 +568,12 @@
                 write(conn, format!("{:x}\r\n{}", event.len(), &event[..6]).as_bytes()).await;
                 return false;
             }
+            if fault == Some(TargetFault::SpoilsStream(n - 1)) {
+                write(conn, b"\0 no chunk\r\n").await;
+                conn.wait_closed().await;
+                self.shared.borrow_mut().closed_early += 1;
+                return false;
+            }
             if fault == Some(TargetFault::CutsUnframedStream(n - 1)) {
                 write(conn, &event.as_bytes()[..6]).await;
                 return false;
--- a/tests/test_gateway.rs
+++ b/tests/test_gateway.rs
@@ -10,7 +10,7 @@
 use kingcupwall::rows::{Fault, RowStore};
 use kingcupwall::standin::gateway::{LocalPlatform, catalog_parts};
 use kingcupwall::standin::gateway_host::GatewayHost;
-use kingcupwall::standin::gateway_target::TargetFault;
+use kingcupwall::standin::gateway_target::{StandinTarget, TargetFault};
 use rstest::rstest;
 use tokio::task::spawn_local;
 
@@ -283,6 +283,34 @@
     });
 }
 
+/// Guards against a stream that runs at two targets at once: the first one, whose answer turned
+/// invalid, works on until its connection is closed.
+#[test]
+fn stream_closed_before_resumed_elsewhere() {
+    run_local(async {
+        let fleet = Fleet::start(2, 10_000).await;
+        fleet.fill_retry_budget().await;
+        for target in &fleet.targets {
+            target.set_event_gap(Duration::from_millis(20));
+            target.fail(&[TargetFault::SpoilsStream(2)]);
+        }
+        let front = fleet.router.front;
+        let call = Call::get("/resumable/a").tokens(10, 20);
+        let got = spawn_local(async move { call.send(front).await });
+        let began = |t: &&StandinTarget| t.runs().iter().any(|r| r.id == "q1");
+        eventually("the start of the stream", || fleet.targets.iter().any(|t| began(&t))).await;
+        let (first, second) = match began(&&fleet.targets[0]) {
+            true => (&fleet.targets[0], &fleet.targets[1]),
+            false => (&fleet.targets[1], &fleet.targets[0]),
+        };
+        second.set_faults(&[TargetFault::Hangs]);
+        eventually("the resumed request", || began(&second)).await;
+        eventually("the end of the first run", || first.closed_early() == 1).await;
+        assert!(!got.is_finished());
+        assert_eq!(second.closed_early(), 0);
+    });
+}
+
 #[test]
 fn stream_cut_looks_cut() {
     // A caller must not take an incomplete answer for a complete one. When a stream that may run
