Requests that are given up are reset, so that held bytes do not arrive

Callers saw: nothing; targets got requests 2 to 3 s after they had said that they leave, which callers had long given up on.

Cause: giving a request up closed its connection in order, and an orderly close still delivers what a partition holds up.

Evidence: given_up_request_does_not_arrive, over a link that drops held bytes only if their sender resets. Ruled out: sends to targets that are known to leave.

Fix: a connection whose request is neither answered nor rejected is reset when it is dropped; a relay resets its connection when the router closes the tunnel.

--- a/src/gateway/pool.rs
+++ b/src/gateway/pool.rs
@@ -62,7 +62,8 @@
 
     /// Returns the connection to the pool after the target proved that it did not run the request,
     /// or got none.
-    pub fn return_to(self, pool: &mut Pool) {
+    pub fn return_to(mut self, pool: &mut Pool) {
+        self.conn.end_request();
         if let Some(reuse_until) = self.reuse_until {
             pool.add_idle(self.conn, self.via, reuse_until);
         }
@@ -121,7 +122,8 @@
 
     /// Returns a connection after a complete answer, if that answer allows reuse.
     /// `via` is the router that relays the connection, if any.
-    pub fn put(&mut self, conn: Conn, via: Option<SocketAddr>, answer: &ResponseHead) {
+    pub fn put(&mut self, mut conn: Conn, via: Option<SocketAddr>, answer: &ResponseHead) {
+        conn.end_request();
         if let Some(reuse_until) = reuse_deadline(answer) {
             self.add_idle(conn, via, reuse_until);
         }
--- a/src/gateway/tunnel.rs
+++ b/src/gateway/tunnel.rs
@@ -24,7 +24,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use socket2::SockRef;
 use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt, copy};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::spawn_local;
@@ -217,11 +216,9 @@
 
 /// Copies bytes in both directions until one side closes; the target's in chunks if `is_framed` is
 /// set. Returns which side did.
-async fn splice(router: Conn, target: Conn, is_framed: bool) -> &'static str {
-    let (mut router, from_router) = router.into_parts();
-    let (mut target, from_target) = target.into_parts();
-    let (mut router_rd, mut router_wr) = router.split();
-    let (mut target_rd, mut target_wr) = target.split();
+async fn splice(mut router: Conn, mut target: Conn, is_framed: bool) -> &'static str {
+    let (mut router_rd, mut router_wr, from_router) = router.split();
+    let (mut target_rd, mut target_wr, from_target) = target.split();
     let up = async {
         target_wr.write_all(&from_router).await?;
         copy(&mut router_rd, &mut target_wr).await
@@ -241,7 +238,11 @@
         ended = down => Some(ended),
     };
     match ended {
-        None => "router_closed",
+        None => {
+            // Its bytes may still be held up between this router and the target.
+            target.set_reset_on_close(true);
+            "router_closed"
+        }
         Some(Ok(_)) => {
             // The router's bytes are read to the end, because a connection that is closed with
             // unread bytes is reset, and the reset could overtake the answer.
@@ -258,9 +259,7 @@
         Some(Err(_)) => {
             // A target's answer that is delimited by the end of its connection must not look
             // complete.
-            if let Err(e) = SockRef::from(&router).set_linger(Some(Duration::ZERO)) {
-                log::debug!("tunnel abort error={e}");
-            }
+            router.set_reset_on_close(true);
             "reset"
         }
     }
--- a/src/http1/conn.rs
+++ b/src/http1/conn.rs
@@ -7,6 +7,7 @@
 use bytes::{Buf, Bytes, BytesMut};
 use socket2::{SockRef, TcpKeepalive};
 use tokio::io::{AsyncReadExt, AsyncWriteExt, Interest};
+use tokio::net::tcp::{ReadHalf, WriteHalf};
 use tokio::net::{TcpSocket, TcpStream};
 
 use super::body::{BodyDecoder, Step};
@@ -50,6 +51,8 @@
     /// Whether a message was begun and not written whole. The peer would take whatever is sent next
     /// for the rest of it.
     has_unsent: bool,
+    /// Whether a request was begun that is neither answered nor rejected.
+    in_request: bool,
     /// The rest of a request, which is written while the answer is waited for.
     unsent: Bytes,
     /// `None` if the connection is direct.
@@ -76,6 +79,7 @@
             buf: BytesMut::new(),
             eof: false,
             has_unsent: false,
+            in_request: false,
             unsent: Bytes::new(),
             relay_framing: None,
             relayed: BytesMut::new(),
@@ -327,14 +331,23 @@
     /// Begins to write a request. What the socket does not take at once is written while the answer
     /// is read, so that neither an early answer nor a late one to another request holds it up.
     ///
+    /// Until [`Conn::end_request`] the connection is reset when it is dropped: bytes of a request
+    /// that is given up may still be held up by a network partition, and must not arrive after it.
+    ///
     /// # Errors
     /// The error of the socket.
     pub fn start_request(&mut self, request: Bytes) -> io::Result<()> {
+        self.in_request = true;
         self.has_unsent = true;
         self.unsent = request;
         self.write_unsent()
     }
 
+    /// Records that the target has answered or rejected the request.
+    pub fn end_request(&mut self) {
+        self.in_request = false;
+    }
+
     fn write_unsent(&mut self) -> io::Result<()> {
         while !self.unsent.is_empty() {
             match self.io.try_write(&self.unsent) {
@@ -348,9 +361,10 @@
         Ok(())
     }
 
-    /// Takes the connection apart into its socket and the bytes that were read but not consumed.
-    pub fn into_parts(self) -> (TcpStream, BytesMut) {
-        (self.io, self.buf)
+    /// Splits the socket into its halves, and takes the bytes that were read but not consumed.
+    pub fn split(&mut self) -> (ReadHalf<'_>, WriteHalf<'_>, BytesMut) {
+        let (rd, wr) = self.io.split();
+        (rd, wr, std::mem::take(&mut self.buf))
     }
 
     /// Sets whether the connection is closed with a reset, also by the end of this process, so that
@@ -363,3 +377,11 @@
         }
     }
 }
+
+impl Drop for Conn {
+    fn drop(&mut self) {
+        if self.in_request || self.has_unsent {
+            self.set_reset_on_close(true);
+        }
+    }
+}
--- a/src/standin/proxy.rs
+++ b/src/standin/proxy.rs
@@ -6,6 +6,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use socket2::SockRef;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
@@ -249,6 +250,10 @@
             }
             while self.mode.get() == stall_mode || self.mode.get() == LinkMode::StallBoth {
                 sleep(STALL_POLL).await;
+                // Held bytes are lost if their sender resets the connection.
+                if !matches!(SockRef::from(reader.as_ref()).take_error(), Ok(None)) {
+                    return;
+                }
             }
             if n == 0 {
                 // The receiver sees the end of the stream only after all bytes before it.
--- a/tests/test_gateway_partition.rs
+++ b/tests/test_gateway_partition.rs
@@ -15,7 +15,7 @@
 use kingcupwall::standin::gateway::{LocalPlatform, catalog_parts};
 use kingcupwall::standin::gateway_host::GatewayHost;
 use kingcupwall::standin::gateway_target::{StandinTarget, TargetFault};
-use kingcupwall::standin::proxy::{Partition, Proxy};
+use kingcupwall::standin::proxy::{LinkMode, Partition, Proxy};
 use rstest::rstest;
 use tokio::io::{AsyncReadExt, copy};
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
@@ -294,6 +294,34 @@
     });
 }
 
+/// Guards against a request that reaches a target long after it was given up, because a partition has
+/// held its bytes up and the connection was closed in order.
+#[rstest]
+#[case::caller_leaves(true)]
+#[case::time_limit(false)]
+fn given_up_request_does_not_arrive(#[case] leaves: bool) {
+    run_local(async move {
+        let fleet = Fleet::start(&["zone-1"], 1, None).await;
+        let a = fleet.routers[0].front;
+        fleet.links.iter().flatten().for_each(|l| l.set(LinkMode::StallForward));
+        let call = Call::get("/once/a").id("given-up").time_left_ms(300);
+        let mut conn = Conn::dial(a, Duration::from_secs(5)).await.unwrap();
+        conn.write(&call.bytes()).await.unwrap();
+        if leaves {
+            sleep(PACE).await;
+            drop(conn);
+        } else {
+            assert_eq!(CallResult::read(&mut conn).await.status(), 504);
+        }
+        sleep(PACE).await;
+        fleet.heal();
+        // The links deliver what they hold before these requests.
+        first_attempts(a, 8).await;
+        let arrived = |t: &StandinTarget| t.arrivals().iter().any(|r| r.id == "given-up");
+        assert!(!fleet.targets.iter().any(arrived));
+    });
+}
+
 #[test]
 fn crash_behind_relay_recorded() {
     // Guards against losing the quarantine while a router is partitioned: targets that end there
