--- a/src/standin/gateway_target.rs
+++ b/src/standin/gateway_target.rs
@@ -386,19 +386,16 @@
         let Ok(mut conn) = Conn::new(io, UNACKED_TIMEOUT) else { return };
         let answer_all = async {
             while let Ok(head) = conn.read_request(64 * 1024).await {
-                match self.next_early_fault() {
-                    Some(TargetFault::StrayAnswerBeforeBody) => {
-                        if !write(&mut conn, &self.stray_response()).await {
-                            return;
-                        }
+                let early = self.next_early_fault();
+                if early == Some(TargetFault::StrayAnswerBeforeBody) {
+                    if !write(&mut conn, &self.stray_response()).await {
+                        return;
                     }
-                    Some(fault) => {
-                        if !self.answer_early(&mut conn, &head, fault).await {
-                            return;
-                        }
-                        continue;
+                } else if let Some(fault) = early {
+                    if !self.answer_early(&mut conn, &head, fault).await {
+                        return;
                     }
-                    None => (),
+                    continue;
                 }
                 let Ok(Some(body)) = conn.read_body(head.body, |n| n <= MAX_BODY_LEN).await else {
                     return;
@@ -412,15 +409,16 @@
     }
 
     fn next_early_fault(&self) -> Option<TargetFault> {
-        let is_early = |f: &mut TargetFault| {
-            matches!(
-                f,
+        let mut shared = self.shared.borrow_mut();
+        let is_early = matches!(
+            shared.faults.front(),
+            Some(
                 TargetFault::RejectsEarly
                     | TargetFault::AnswersEarly
                     | TargetFault::StrayAnswerBeforeBody
             )
-        };
-        self.shared.borrow_mut().faults.pop_front_if(is_early)
+        );
+        if is_early { shared.faults.pop_front() } else { None }
     }
 
     /// Answers a request of which only the head was read, and reads its body later. Returns whether
