--- a/review/kit2.py
+++ b/review/kit2.py
@@ -94,6 +94,10 @@
         self.server, self.port = await serve(self.connection, ip)
         self.address = f"{ip}:{self.port}"
 
+    def address_for(self, n):
+        """The address of the store in the settings of machine `n`."""
+        return self.address
+
     async def put(self, table, key, value):
         """A write of the operator or of a worker."""
         data = base64.b64encode(json.dumps(value).encode()).decode()
@@ -374,11 +378,11 @@
 class Fleet:
     """A store, workers and routers on a loopback network of their own."""
 
-    def __init__(self, folder):
+    def __init__(self, folder, store=None):
         self.record = Record(folder)
         self.tmp = tempfile.TemporaryDirectory(prefix="kingcupwall-review-")
         self.net = f"127.{random.randint(20, 220)}.{random.randint(1, 250)}"
-        self.store, self.workers, self.routers = Store(), [], []
+        self.store, self.workers, self.routers = store or Store(), [], []
 
     async def start(self, zones, routers, workers, config):
         await self.store.listen(f"{self.net}.250")
@@ -390,7 +394,8 @@
         for n in range(routers):
             zone = zones[n % len(zones)]
             ip = f"{self.net}.{n + 1}"
-            self.routers.append(Router(self.tmp.name, n, ip, zone, zones, self.store.address))
+            self.routers.append(Router(self.tmp.name, n, ip, zone, zones,
+                                       self.store.address_for(n)))
         for router in self.routers:
             router.start()
         if not await wait_ready(self.routers):
@@ -402,10 +407,16 @@
         self.tmp.cleanup()
 
 
-async def quietly(main):
-    """Runs `main` without reports of connections that the end of the case cancels."""
+async def run_to_end(main):
+    """Runs `main` and ends this process with the result. Connections that are still open are not
+    waited for, nor are there reports of them."""
     asyncio.get_running_loop().set_exception_handler(lambda loop, context: None)
-    return await asyncio.wait_for(main(), 115)
+    try:
+        broken = await asyncio.wait_for(main(), 115)
+    except Exception as e:  # whatever stops the case is no result
+        print(f"the case could not run: {e!r}", flush=True)
+        os._exit(2)
+    os._exit(1 if broken else 0)
 
 
 def run_case(main):
@@ -413,9 +424,4 @@
     if not DAEMON.exists():
         print("the daemon is not built")
         raise SystemExit(2)
-    try:
-        broken = asyncio.run(quietly(main))
-    except Exception as e:  # whatever stops the case is no result
-        print(f"the case could not run: {e!r}")
-        raise SystemExit(2)
-    raise SystemExit(1 if broken else 0)
+    asyncio.run(run_to_end(main))
