--- a/review/6/case.py
+++ b/review/6/case.py
@@ -19,14 +19,14 @@
 # The site's `photo-tag`: tokens in (shared and own), events out, tokens in an event, time limit.
 SHARED, OWN, EVENTS, EVENT_TOKENS, LIMIT_S = 568, 1800, 3, 9, 2.5
 HOST, PATH = "tags.example", "/photo/tag"
-PREPAID = 280 * (SHARED + OWN + EVENTS * EVENT_TOKENS)
+PREPAID = 400 * (SHARED + OWN + EVENTS * EVENT_TOKENS)
 # platform_lost, x = 0.35, for_s = 4.5.
 LOST_SHARE, LOST_S = 0.35, 4.5
 # platform_down, how = "nodes many", share = 0.35, for_s = 9.0.
 DOWN_SHARE, DOWN_S = 0.35, 9.0
 # Traffic of each tenant: requests a second and seconds. In each of the rounds it pauses after the
 # first part and then meets the rejections.
-ROUNDS, FIRST, PAUSE_S, SECOND, LAST = 2, (12, 4), 12, (12, 8), (12, 20)
+ROUNDS, FIRST, PAUSE_S, SECOND, LAST = 3, (12, 4), 12, (12, 8), (15, 9)
 # The losses begin this long after the last request before the pause, the rejections this long after
 # the losses.
 LOST_AFTER_S, DOWN_AFTER_S = 9.15, 0.95
