Budgets: a rejected write withdraws only itself

Cause: a pending change of a grant was recognised by ledger version and ceiling. The write that returns an idle grant took effect unanswered; its repetition, equal in both, was rejected; grant_rejected dropped both. The router spent the grant, which others held by then, and later counted from zero, so that no ledger had that spending.

Ruled out: a client that repeats calls by itself (by reading); pending writes of the spending row (numbered, one in flight, each success has a later version than all earlier writes expect).

Fix: begin_grant_write returns a GrantWrite, neither Clone nor Copy, and only that send can be withdrawn. Other pending writes end with a newer version of their row. A release at a planned stop is pending, too. A debug assertion checks that a grant that is gone was returned by a pending write that covers all charged tokens.

--- a/src/allowance/account.rs
+++ b/src/allowance/account.rs
@@ -53,11 +53,20 @@
     pub now: StoreMs,
 }
 
-/// A ceiling whose write was not answered, with the ledger version that the write expects.
+/// One send of a change of the grant. Only the holder can withdraw it, once the store has rejected
+/// that send.
+#[derive(Debug)]
+pub struct GrantWrite(u64);
+
+/// A ceiling whose write was not answered, with the number of that write and the ledger version
+/// that it expects.
 #[derive(Clone, Copy, Debug)]
 struct PendingCeiling {
+    number: u64,
     based_on: Ver,
     ceiling: Tokens,
+    /// Whether the write removes the grant and counts `ceiling` tokens as spent.
+    returns_grant: bool,
 }
 
 /// A spending limit whose write was not answered, with the number of that write and the spending
@@ -90,6 +99,8 @@
     ceiling: Option<Tokens>,
     /// Ceilings whose writes were not answered. Any of them may be in force.
     pending_ceilings: Vec<PendingCeiling>,
+    /// Number of writes of the grant that were begun.
+    grant_writes: u64,
     spending_limit: Option<AnchoredLimit>,
     /// Spending limits whose writes were not answered. Any of them may be in force.
     pending_limits: Vec<PendingLimit>,
@@ -119,6 +130,7 @@
             known: false,
             ceiling: None,
             pending_ceilings: Vec::new(),
+            grant_writes: 0,
             spending_limit: None,
             pending_limits: Vec::new(),
             finished_cost: Tokens(0),
@@ -298,6 +310,11 @@
         }
         let own = ledger.grant(&self.me).map(|g| g.ceiling);
         if own.is_none() && self.ceiling.is_some() {
+            let covers = |p: &PendingCeiling| p.returns_grant && self.charged() <= p.ceiling;
+            debug_assert!(
+                self.pending_ceilings.iter().any(covers),
+                "the ledger does not hold the spending of a returned grant"
+            );
             self.reset_spending();
         }
         self.ceiling = own;
--- a/src/allowance/account/grants.rs
+++ b/src/allowance/account/grants.rs
@@ -4,7 +4,7 @@
 
 use tokio::time::Instant;
 
-use super::{Account, PendingCeiling, Sizing};
+use super::{Account, GrantWrite, PendingCeiling, Sizing};
 use crate::allowance::ledger::{ClosedGrant, Grant, Ledger};
 use crate::allowance::spending::PredecessorSpending;
 use crate::ids::Tokens;
@@ -205,9 +205,19 @@
     }
 
     /// Records a change of the grant that is about to be sent; see [`Account::begin_limit_write`].
-    pub fn begin_grant_write(&mut self, grant_change: &GrantChange) {
-        let ceiling = grant_change.ceiling.unwrap_or(self.charged());
-        self.pending_ceilings.push(PendingCeiling { based_on: grant_change.expect, ceiling });
+    pub fn begin_grant_write(&mut self, grant_change: &GrantChange) -> GrantWrite {
+        self.begin_write(grant_change.expect, grant_change.ceiling)
+    }
+
+    fn begin_write(&mut self, based_on: Ver, ceiling: Option<Tokens>) -> GrantWrite {
+        self.grant_writes += 1;
+        self.pending_ceilings.push(PendingCeiling {
+            number: self.grant_writes,
+            based_on,
+            ceiling: ceiling.unwrap_or(self.charged()),
+            returns_grant: ceiling.is_none(),
+        });
+        GrantWrite(self.grant_writes)
     }
 
     /// Records that the change is in force.
@@ -217,11 +227,10 @@
         self.observe(grant_change.ledger.clone(), ver);
     }
 
-    /// Records that the change was rejected and has no effect.
-    pub fn grant_rejected(&mut self, grant_change: &GrantChange) {
-        let ceiling = grant_change.ceiling.unwrap_or(self.charged());
-        let same = |p: &PendingCeiling| p.based_on == grant_change.expect && p.ceiling == ceiling;
-        self.pending_ceilings.retain(|p| !same(p));
+    /// Records that a write was not sent, or was rejected, and has no effect. This proves nothing
+    /// about an earlier write of the same change that was not answered.
+    pub fn grant_rejected(&mut self, write: GrantWrite) {
+        self.pending_ceilings.retain(|p| p.number != write.0);
     }
 
     /// Whether a change of the grant may still take effect, so that the ledger is not final.
@@ -230,9 +239,11 @@
     }
 
     /// The ledger without this process's grant, and the version that it replaces, for a planned
-    /// stop. Only amounts that cannot be proven any more stay in doubt.
-    pub fn released_ledger(&self) -> Option<(Ledger, Ver)> {
+    /// stop. Only amounts that cannot be proven any more stay in doubt. The release counts as
+    /// pending until the ledger has a newer version.
+    pub fn released_ledger(&mut self) -> Option<(Ledger, Ver)> {
         self.ledger.grant(&self.me)?;
+        self.begin_write(self.ver, None);
         let mut ledger = self.ledger.clone();
         ledger.close_own(&self.me, self.charged(), self.settled());
         Some((ledger, self.ver))
--- a/src/allowance/calls.rs
+++ b/src/allowance/calls.rs
@@ -10,7 +10,7 @@
 use compact_str::CompactString;
 use tokio::time::{Instant, sleep};
 
-use super::account::{GrantChange, Sizing};
+use super::account::{GrantChange, GrantWrite, Sizing};
 use super::ledger::{ClosedGrant, Ledger};
 use super::manager::{BudgetManager, ObservedStoreTime, OrgState, REREAD_BACKOFF};
 use super::spending::{OrgSpending, PredecessorSpending, Spending};
@@ -44,8 +44,16 @@
     ReadSpending,
     WriteSpending,
     ReadLedger(CompactString),
-    /// A change of this router's grant, and the spending of predecessors that it closes.
-    WriteLedger(CompactString, GrantChange, Vec<PredecessorSpending>),
+    WriteLedger(CompactString, LedgerWrite),
+}
+
+/// A change of this router's grant that is due.
+pub(super) struct LedgerWrite {
+    grant_change: GrantChange,
+    /// Spending of predecessors that the change closes.
+    predecessors: Vec<PredecessorSpending>,
+    /// Set when the write begins.
+    write: Option<GrantWrite>,
 }
 
 /// Outcome of a store call.
@@ -83,18 +91,20 @@
         for_ledgers.sort_by_key(|(awaited, _)| !awaited);
         calls.extend(for_ledgers.into_iter().map(|(_, call)| call));
         calls.truncate(free_slots);
-        for call in &calls {
+        for call in &mut calls {
             match call {
                 Call::ReadSpending | Call::WriteSpending => {
                     self.spending_row.borrow_mut().sent_at = Some(now)
                 }
                 Call::ReadLedger(org) => drop(self.with_org_state(org, |s| s.sent_at = Some(now))),
-                Call::WriteLedger(org, grant_change, _) => drop(self.with_org_state(org, |s| {
-                    s.sent_at = Some(now);
-                    // The lower ceiling counts from here, not from the moment of sending: tokens
-                    // reserved in between could exceed it.
-                    s.account.begin_grant_write(grant_change);
-                })),
+                Call::WriteLedger(org, due) => {
+                    due.write = self.with_org_state(org, |s| {
+                        s.sent_at = Some(now);
+                        // The lower ceiling counts from here, not from the moment of sending:
+                        // tokens reserved in between could exceed it.
+                        s.account.begin_grant_write(&due.grant_change)
+                    });
+                }
             }
         }
         calls
@@ -141,10 +151,9 @@
                 if !fresh && s.account.is_shared() {
                     return Some((awaited, Call::ReadLedger(s.org.clone())));
                 }
-                return Some((
-                    awaited,
-                    Call::WriteLedger(s.org.clone(), grant_change, predecessors.to_vec()),
-                ));
+                let predecessors = predecessors.to_vec();
+                let due = LedgerWrite { grant_change, predecessors, write: None };
+                return Some((awaited, Call::WriteLedger(s.org.clone(), due)));
             }
             // Other routers may have returned tokens or may have nearly used up the budget; only a
             // read shows this.
@@ -171,8 +180,8 @@
                 let outcome = self.read_ledger(&org).await;
                 self.finish_ledger_call(&org, outcome).await;
             }
-            Call::WriteLedger(org, grant_change, predecessors) => {
-                let outcome = self.write_ledger(&org, &grant_change, &predecessors).await;
+            Call::WriteLedger(org, due) => {
+                let outcome = self.write_ledger(&org, due).await;
                 self.finish_ledger_call(&org, outcome).await;
             }
         }
@@ -405,16 +414,17 @@
     }
 
     /// Writes a change of this router's grant.
-    async fn write_ledger(
-        &self,
-        org: &str,
-        grant_change: &GrantChange,
-        predecessors: &[PredecessorSpending],
-    ) -> CallOutcome {
+    async fn write_ledger(&self, org: &str, due: LedgerWrite) -> CallOutcome {
+        let LedgerWrite { grant_change, predecessors, write } = due;
+        let reject = || {
+            if let Some(write) = write {
+                self.update_account(org, |a| a.grant_rejected(write));
+            }
+        };
         // After the shutdown has returned the grants, a new grant would count this process's
         // spending twice.
         if self.stopped.get() {
-            self.with_account(org, |a| a.grant_rejected(grant_change));
+            reject();
             return CallOutcome::Failed;
         }
         let sent_at = Instant::now();
@@ -424,7 +434,7 @@
         let ceiling = grant_change.ceiling.map_or(0, |c| c.0);
         match outcome {
             Ok(done) => {
-                self.apply_written_grant(org, grant_change, predecessors, done);
+                self.apply_written_grant(org, &grant_change, &predecessors, done);
                 self.log.routine(
                     "grant",
                     format_args!(
@@ -435,7 +445,7 @@
                 CallOutcome::Succeeded
             }
             Err(StoreError::Conflict(rows)) => {
-                self.with_account(org, |a| a.grant_rejected(grant_change));
+                reject();
                 for row in rows.iter().filter(|r| r.at.key == org) {
                     self.with_org_state(org, |s| self.apply_ledger_row(s, row));
                 }
@@ -444,7 +454,7 @@
             }
             Err(e) => {
                 if matches!(e, StoreError::Rejected(_)) {
-                    self.with_account(org, |a| a.grant_rejected(grant_change));
+                    reject();
                 }
                 self.log.note("grant", format_args!("org={org} took_ms={ms} outcome={e}"));
                 CallOutcome::Failed
@@ -493,8 +503,8 @@
 
     pub(super) fn pending_releases(&self) -> Vec<(CompactString, Ledger, Ver)> {
         let as_release =
-            |s: &OrgState| s.account.released_ledger().map(|(l, v)| (s.org.clone(), l, v));
-        self.org_states.borrow().iter().filter_map(as_release).collect()
+            |s: &mut OrgState| s.account.released_ledger().map(|(l, v)| (s.org.clone(), l, v));
+        self.org_states.borrow_mut().iter_mut().filter_map(as_release).collect()
     }
 
     pub(super) async fn write_release(
--- a/src/allowance/mod.rs
+++ b/src/allowance/mod.rs
@@ -25,7 +25,7 @@
 mod spending_row;
 mod wire;
 
-pub use account::{Account, Cause, Denied, GrantChange, MissingCover, Sizing};
+pub use account::{Account, Cause, Denied, GrantChange, GrantWrite, MissingCover, Sizing};
 pub use ledger::{ClosedGrant, Grant, Ledger, ProcessId};
 pub use lenders::{Lender, Lenders, Source};
 pub use limit::{AnchoredLimit, SpendingLimit};
--- a/tests/test_allowance.rs
+++ b/tests/test_allowance.rs
@@ -291,15 +291,33 @@
     let later = Instant::now() + Duration::from_secs(15);
     let change = fixture.next_grant_change(later).expect("the grant is returned");
     assert_eq!(change.ledger.committed(), Tokens(0));
-    fixture.account.begin_grant_write(&change);
+    let write = fixture.account.begin_grant_write(&change);
     assert_eq!(fixture.account.ceiling(), Tokens(0));
     assert_eq!(fixture.account.reserve_tokens(Tokens(4_000), later), Err(Denied::NoneHere));
     // The store rejected the write, so nothing was returned.
-    fixture.account.grant_rejected(&change);
+    fixture.account.grant_rejected(write);
     assert_eq!(fixture.account.ceiling(), before);
     assert_eq!(fixture.account.reserve_tokens(Tokens(4_000), later), Ok(()));
 }
 
+#[tokio::test(start_paused = true)]
+async fn account_rejected_repetition() {
+    // Guards against forgetting an unanswered write when the store rejects its repetition.
+    let mut fixture = AccountFixture::new(10_000);
+    fixture.reserve_written(4_000);
+    fixture.settle(4_000, 0);
+    let later = Instant::now() + Duration::from_secs(15);
+    let change = fixture.next_grant_change(later).expect("the grant is returned");
+    let unanswered = fixture.account.begin_grant_write(&change);
+    let repetition = fixture.next_grant_change(later).expect("the write is repeated");
+    let rejected = fixture.account.begin_grant_write(&repetition);
+    fixture.account.grant_rejected(rejected);
+    assert_eq!(fixture.account.ceiling(), Tokens(0));
+    assert!(fixture.account.has_pending_change());
+    fixture.account.grant_rejected(unanswered);
+    assert!(!fixture.account.has_pending_change());
+}
+
 #[tokio::test(start_paused = true)]
 async fn account_unanswered_limit() {
     // Guards against spending more than a successor accounts for after a lost answer. Either of two
--- a/tests/test_allowance_random.rs
+++ b/tests/test_allowance_random.rs
@@ -297,3 +297,44 @@
         }
     });
 }
+
+/// Guards against spending a returned grant: the write that returned it was not answered but took
+/// effect, and the store rejected its repetition.
+#[rstest]
+#[case::done(Fault::LoseAnswers, 429)]
+#[case::done_late(Fault::Held, 503)]
+fn manager_returned_grant_is_not_spent(#[case] unanswered: Fault, #[case] status: u16) {
+    in_virtual_time(async {
+        let mut group = RouterGroup::new(10_000);
+        sleep(Duration::from_secs(1)).await;
+        group.request(0, 2_000, 50);
+        // Just before the grant is returned, so that no other change of it is unanswered.
+        sleep(Duration::from_millis(9_500)).await;
+        assert!(group.committed().await >= 2_000, "the grant covers one more request");
+        let rows = group.routers[0].as_ref().unwrap().rows.clone();
+        rows.set_fault(unanswered);
+        for _ in 0..400 {
+            if group.committed().await == 1_000 || rows.held_writes("budgets") > 0 {
+                break;
+            }
+            sleep(Duration::from_millis(50)).await;
+        }
+        rows.set_fault(Fault::Reject(status));
+        sleep(Duration::from_secs(2)).await;
+        rows.release_held();
+        assert_eq!(group.committed().await, 1_000, "the grant was returned");
+        group.request(1, 9_000, 100);
+        sleep(Duration::from_secs(1)).await;
+        group.request(0, 1_000, 100);
+        sleep(Duration::from_secs(1)).await;
+        assert_eq!(group.spent.get(), group.prepaid);
+        // Once the store answers, the router spends what a top-up has added.
+        rows.set_fault(Fault::None);
+        group.step(&Step::TopUp(40_000)).await;
+        sleep(Duration::from_secs(1)).await;
+        group.request(0, 1_000, 100);
+        sleep(Duration::from_secs(40)).await;
+        assert_eq!(group.spent.get(), 11_000);
+        assert_eq!(group.committed().await, 11_000, "all spending is in the ledger");
+    });
+}
