Streams: continue after all routers ended, if one version can have begun them

Cause: which software version began a stream is kept in routers' memory only, so nobody knows it once they have ended.

Fix: a row of the store lists the versions that may have begun resumable streams. No router sends a resumable stream to a target whose version it has not seen listed. For a stream of unknown origin the row is read, by a read that begins after the attempt; if it lists one version, the stream began there. Several versions: refused as before. No answer of the store: refused with Retry-After.

Ruled out: what a router has seen by itself (a guess); origins of all streams in the store (writes a second); handing tables over at a stop (does not cover kills).

It does not join versions: streams_are_not_joined_after_all_routers_ended (two versions serve; the first one left while no router ran), an unversioned target, a version that appears later, all with no stream continued wrongly.

--- a/src/gateway/backend.rs
+++ b/src/gateway/backend.rs
@@ -215,6 +215,12 @@
         self.version
     }
 
+    /// The version that the target's streams begin at. Targets of a service whose version is not
+    /// known share one, which no stream may resume at.
+    pub fn stream_version(&self) -> VersionDigest {
+        self.version.unwrap_or_else(|| VersionDigest::of(&self.info.borrow().service, ""))
+    }
+
     /// The target's address.
     pub fn addr(&self) -> SocketAddr {
         self.info.borrow().addr
--- a/src/gateway/continuation.rs
+++ b/src/gateway/continuation.rs
@@ -9,9 +9,10 @@
 use super::catalog::RouteKind;
 use super::forward::{Job, OrDash};
 use super::origins::{Known, Origin, StreamKey};
-use super::refusal::RouterResponse;
+use super::refusal::{DEFAULT_RETRY_AFTER, RouterResponse};
 use super::resumption::OriginSource;
 use super::state::Platform;
+use super::versions::only_version;
 use crate::stats::ReasonLabel;
 
 impl<P: Platform> Job<'_, P> {
@@ -44,6 +45,10 @@
             Some((Known::Contradictory(..), ..)) => ("contradictory_origin", None),
             None => ("unknown_origin", None),
         };
+        let (outcome, backend) = match outcome {
+            "unknown_origin" if self.meta.resumes.is_some() => self.find_only_version().await?,
+            _ => (outcome, backend),
+        };
         self.log_resumption(outcome, found.map(|(_, age, source)| (age, source)), backend.as_ref());
         let Some(backend) = backend else { return Err(RouterResponse::new(503, outcome)) };
         self.version = backend.version();
@@ -51,6 +56,23 @@
         Ok(())
     }
 
+    /// Finds a target of the only version that can have begun the stream, if there is only one.
+    ///
+    /// # Errors
+    /// A response that states when to come back, if the store did not answer.
+    async fn find_only_version(
+        &self,
+    ) -> Result<(&'static str, Option<Rc<Backend>>), RouterResponse> {
+        let read = timeout_at(self.answer_deadline, only_version(self.gw)).await;
+        let Ok(Ok(only)) = read else {
+            self.log_resumption("versions_unread", None, None);
+            return Err(RouterResponse::refusal("versions_unread", DEFAULT_RETRY_AFTER));
+        };
+        let Some(version) = only else { return Ok(("unknown_origin", None)) };
+        let backend = self.gw.targets.of_version(version).filter(|b| self.is_routed_to(b));
+        Ok((if backend.is_some() { "only_version" } else { "no_target_of_version" }, backend))
+    }
+
     /// Whether the request's route sends requests to the service of a target.
     fn is_routed_to(&self, backend: &Backend) -> bool {
         self.route.shares.iter().any(|s| s.service == backend.info.borrow().service)
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -50,6 +50,7 @@
 pub mod targets;
 pub mod timing;
 pub mod tunnel;
+pub mod versions;
 pub mod warmup;
 pub mod zone_filter;
 pub mod zone_orders;
--- a/src/gateway/send.rs
+++ b/src/gateway/send.rs
@@ -8,6 +8,7 @@
 use tokio::time::{Instant, timeout};
 
 use super::backend::{Backend, InFlight, PlacementPlan};
+use super::catalog::RouteKind;
 use super::cold::AdmissionLimit;
 use super::connect::{ConnectError, connect};
 use super::forward::{Job, OrDash};
@@ -28,6 +29,8 @@
 const MAX_BUFFERED_ANSWER_BYTES: usize = 256 * 1024;
 /// The maximum number of answers to earlier requests that are skipped on a connection.
 const MAX_STRAY_ANSWERS: usize = 2;
+/// How long a target is passed over whose software version could not be listed. The store is away.
+const UNLISTED_VERSION_PAUSE: Duration = Duration::from_millis(500);
 /// How long a repeatable request waits for an answer before it is sent to another target, as a
 /// multiple of the route's latency aim; the predicted time to the first token is added. A target
 /// that hangs stalls everything sent to it although its health check may still pass.
@@ -138,6 +141,13 @@
                 }
             }
         }
+        // After the death of all routers only the list tells where a stream can have begun.
+        if self.route.kind == RouteKind::ResumableStream
+            && !self.gw.versions.listed(backend.stream_version()).await
+        {
+            backend.set_no_room(UNLISTED_VERSION_PAUSE);
+            return Err(SendOutcome::HeldOff);
+        }
         // The last check that may wait: an admission is used at once.
         if self.gw.capacity.rejection_limit(&service).is_some()
             && let Err(room_in) = self.gw.capacity.admit(backend, &self.gw.targets).await
--- a/src/gateway/start.rs
+++ b/src/gateway/start.rs
@@ -6,7 +6,7 @@
 use tokio::task::{JoinHandle, spawn_local};
 
 use super::state::{Gateway, Platform};
-use super::{connect, front, members, peers, sync, tunnel};
+use super::{connect, front, members, peers, sync, tunnel, versions};
 
 /// Starts the tasks of a router. Callers connect to `listener`; other routers send datagrams to
 /// `socket`, and open tunnels at `tunnel_listener`. The first task is the one that follows the configuration.
@@ -29,6 +29,7 @@
         spawn_local(sync::follow_config(gw.clone())),
         spawn_local(sync::follow_targets(gw.clone())),
         spawn_local(sync::sweep_targets(gw.clone())),
+        spawn_local(versions::run(gw.clone())),
         spawn_local(members::run(gw.clone())),
         spawn_local(gw.budget_shares.clone().run()),
         spawn_local(gw.budget_shares.clone().report_loans()),
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -23,6 +23,7 @@
 use super::resumption::StreamOrigins;
 use super::retries::{RetryAllowance, ServiceRetryBudgets};
 use super::targets::Targets;
+use super::versions::VersionList;
 use super::warmup::Admissions;
 use super::zone_filter::ZoneRegions;
 use super::zones::ZoneGossip;
@@ -137,6 +138,8 @@
     pub capacity: CapacityAdmissions,
     /// Software versions that began resumable streams.
     pub origins: StreamOrigins,
+    /// Software versions that may have begun resumable streams.
+    pub versions: VersionList,
     /// Shares of the organisations' budgets.
     pub budget_shares: Rc<BudgetManager<P>>,
     /// This router's shares of the retry budget.
@@ -188,6 +191,7 @@
                 stats.clone(),
             ),
             origins: StreamOrigins::new(log.clone(), stats.clone()),
+            versions: VersionList::default(),
             reader: StoreReader::new(
                 platform.clone(),
                 budget_shares.clone(),
--- a/tests/test_gateway_versions.rs
+++ b/tests/test_gateway_versions.rs
@@ -3,7 +3,10 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use kingcupwall::gateway::origins::VersionDigest;
+use kingcupwall::gateway::versions::StreamVersions;
 use kingcupwall::http1::Conn;
+use kingcupwall::rows::{Fault, Row, RowKey, StoreMs, Ver};
 use kingcupwall::standin::gateway::{LocalPlatform, catalog_parts};
 use kingcupwall::standin::gateway_host::GatewayHost;
 use kingcupwall::standin::gateway_target::{StandinTarget, TargetFault};
@@ -58,8 +61,14 @@
     }
 
     async fn add_router(&mut self) {
+        self.start_router(1).await;
+    }
+
+    /// Starts process `incarnation` of the next router.
+    async fn start_router(&mut self, incarnation: u64) {
         let instance = format!("r{}", self.routers.len() + 1);
-        let router = GatewayHost::start(&self.platform, &instance, "zone-1", 1).await.unwrap();
+        let router =
+            GatewayHost::start(&self.platform, &instance, "zone-1", incarnation).await.unwrap();
         self.routers.push(router);
     }
 
@@ -371,3 +380,119 @@
         refused(streams[0].resume(), &fleet).await;
     });
 }
+
+impl Fleet {
+    fn kill_routers(&mut self) {
+        self.routers.drain(..).for_each(GatewayHost::kill);
+    }
+
+    /// Starts the next processes of the first `n` routers.
+    async fn start_routers(&mut self, n: usize) {
+        for _ in 0..n {
+            self.start_router(2).await;
+        }
+    }
+}
+
+#[test]
+fn streams_continue_after_all_routers_ended() {
+    // Guards against refusing all resumed streams after a kill of all routers.
+    run_local(async {
+        let mut fleet = Fleet::start(&["v1", "v1"], 3).await;
+        let streams = fleet.interrupted_streams().await;
+        fleet.kill_routers();
+        fleet.start_routers(3).await;
+        let complete = fleet.resume_all(&streams, 2).await;
+        assert!(2 * complete >= STREAMS, "{complete} of {STREAMS} went on");
+    });
+}
+
+#[rstest]
+#[case::both_serve(false)]
+#[case::its_version_left(true)]
+fn streams_are_not_joined_after_all_routers_ended(#[case] leaves: bool) {
+    // Guards against a stream of one version that another one continues, because no router is left
+    // that knows where it began.
+    run_local(async {
+        let versions = if leaves { &["v1", "v1"][..] } else { &["v1", "v2", "v1", "v2"] };
+        let mut fleet = Fleet::start(versions, 2).await;
+        let streams = fleet.interrupted_streams().await;
+        fleet.kill_routers();
+        if leaves {
+            fleet.targets.iter().for_each(|t| fleet.platform.rows.remove("targets", &t.id));
+            fleet.add_target("v2").await;
+        }
+        fleet.start_routers(2).await;
+        assert_eq!(fleet.resume_all(&streams, 1).await, 0);
+    });
+}
+
+#[test]
+fn stream_of_an_unversioned_target_is_not_continued_after_all_routers_ended() {
+    // Guards against taking the only version that is known for the one at which a stream began.
+    run_local(async {
+        let mut fleet = Fleet::start(&["", ""], 1).await;
+        let streams = fleet.interrupted_streams().await;
+        fleet.kill_routers();
+        fleet.targets.iter().for_each(|t| fleet.platform.rows.remove("targets", &t.id));
+        fleet.add_target("v1").await;
+        fleet.start_routers(1).await;
+        for s in &streams {
+            assert_eq!(s.resume().send(fleet.front(0)).await.status(), 503);
+        }
+    });
+}
+
+#[test]
+fn stream_of_unknown_origin_while_the_store_is_away() {
+    // Guards against continuing by an old list, and against a refusal that looks final.
+    run_local(async {
+        let mut fleet = Fleet::start(&["v1"], 1).await;
+        let streams = fleet.interrupted_streams().await;
+        fleet.kill_routers();
+        fleet.start_routers(1).await;
+        fleet.routers[0].platform.rows.set_fault(Fault::Reject(503));
+        let got = streams[0].resume().send(fleet.front(0)).await;
+        assert_eq!(got.status(), 503);
+        assert!(got.header("Retry-After").is_some());
+    });
+}
+
+#[test]
+fn version_is_listed_before_its_first_stream() {
+    // Guards against a stream that begins at a version that nobody has listed: after the death of
+    // all routers another version would pass for its origin.
+    run_local(async {
+        let mut fleet = Fleet::start(&["v1"], 1).await;
+        let at = RowKey::own_partition("versions", "streams");
+        let listed = |f: &Fleet| {
+            let value = f.platform.rows.peek(&at);
+            let ver = Ver(u64::from(value.is_some()));
+            let row = Row { at: at.clone(), ver, value };
+            StreamVersions::decode(&row).unwrap()
+        };
+        let v1 = VersionDigest::of("model", "v1");
+        eventually("the first version is listed", || listed(&fleet).contains(v1)).await;
+        fleet.add_target("v2").await;
+        let gw = fleet.routers[0].gw.clone();
+        eventually("the router knows the target", || gw.targets.count().1 == 2).await;
+        while fleet.targets[1].runs().is_empty() {
+            assert!(stream("q").send(fleet.front(0)).await.is_complete);
+        }
+        assert!(listed(&fleet).contains(VersionDigest::of("model", "v2")));
+        assert_eq!(listed(&fleet).only(), None);
+    });
+}
+
+#[test]
+fn stream_versions_expire() {
+    let (a, b) = (VersionDigest(1), VersionDigest(2));
+    let hour = 3_600_000;
+    let row = StreamVersions::default().with(&[a, b], StoreMs(1)).unwrap();
+    assert_eq!(row.with(&[a, b], StoreMs(2)), None);
+    assert_eq!(row.only(), None);
+    let row = row.with(&[b], StoreMs(hour)).unwrap();
+    assert_eq!(row.only(), None);
+    let row = row.with(&[b], StoreMs(2 * hour + 2)).unwrap();
+    assert_eq!(row.only(), Some(b));
+}
