--- /dev/null
+++ b/tests/test_gateway_malformed.rs
@@ -0,0 +1,100 @@
+//! Targets whose answers break off in their heads, or never end.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use kingcupwall::http1::{Conn, HeadError};
+use kingcupwall::standin::gateway::{LocalPlatform, catalog_parts};
+use kingcupwall::standin::gateway_host::GatewayHost;
+use rstest::rstest;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpListener;
+use tokio::task::spawn_local;
+
+use crate::gateway_fleet::{Call, run_local};
+
+/// Starts a peer that sends `answer` for each request, then `endless` until the connection is
+/// closed, or closes it if `endless` is empty. `ID` in the answer stands for the request's id.
+async fn peer(answer: String, endless: &'static [u8]) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let addr = listener.local_addr().unwrap();
+    spawn_local(async move {
+        while let Ok((mut io, _)) = listener.accept().await {
+            let answer = answer.clone();
+            spawn_local(async move {
+                let mut buf = [0; 4_096];
+                let Ok(n) = io.read(&mut buf).await else { return };
+                let text = String::from_utf8_lossy(&buf[..n]);
+                let id = text.lines().find_map(|l| l.strip_prefix("Request-Id: "));
+                let answer = answer.replace("ID", id.unwrap_or_default());
+                if io.write_all(answer.as_bytes()).await.is_err() || endless.is_empty() {
+                    return;
+                }
+                while io.write_all(endless).await.is_ok() {
+                    tokio::task::yield_now().await;
+                }
+            });
+        }
+    });
+    addr
+}
+
+/// Starts a router whose only target is at `addr`.
+async fn router_before(addr: SocketAddr) -> (LocalPlatform, GatewayHost) {
+    let platform = LocalPlatform::new();
+    platform.configure(catalog_parts(1, 1_000_000));
+    let row = format!("model {addr} zone-1 8 ready v1");
+    platform.rows.put("targets", "t1", row.as_bytes());
+    let router = GatewayHost::start(&platform, "r1", "zone-1", 1).await.unwrap();
+    (platform, router)
+}
+
+#[test]
+fn answer_cut_in_its_head_is_no_success() {
+    // Guards against a success with an empty or short body, because a target closed the connection
+    // within its head.
+    run_local(async {
+        let head = "HTTP/1.1 200 OK\r\nRequest-Id: ID\r\nSeal: s\r\nContent-Length: 5\r\n\r\n";
+        for len in 1..head.len() {
+            if head[..len].ends_with("Request-Id: I") {
+                continue;
+            }
+            let (_platform, router) = router_before(peer(head[..len].into(), b"").await).await;
+            for path in ["/once/a", "/stream/a"] {
+                let got = Call::get(path).time_left_ms(1_000).send(router.front).await;
+                assert!(got.status() >= 500, "{len} {path}: {}", got.status());
+            }
+            router.kill();
+        }
+    });
+}
+
+#[test]
+fn interim_responses_without_end() {
+    // Guards against a request that waits for its deadline while its target sends interim
+    // responses without end.
+    run_local(async {
+        let addr = peer(String::new(), b"HTTP/1.1 100 Continue\r\n\r\n").await;
+        let mut conn = Conn::dial(addr, Duration::from_secs(5)).await.unwrap();
+        conn.write(b"GET / HTTP/1.1\r\n\r\n").await.unwrap();
+        let head = conn.read_response(32 * 1024);
+        let head = tokio::time::timeout(Duration::from_secs(10), head).await;
+        assert!(matches!(head, Ok(Err(HeadError::TooLong))), "{head:?}");
+    });
+}
+
+#[rstest]
+#[case::rejected("503 Busy\r\nRequest-Id: ID\r\nNot-Run: 1")]
+#[case::stray("200 OK\r\nRequest-Id: other")]
+fn rejection_with_body_without_end(#[case] head: &str) {
+    // Guards against a request that waits for its deadline while its target sends a body without
+    // end that nobody gets.
+    let answer = format!("HTTP/1.1 {head}\r\nTransfer-Encoding: chunked\r\n\r\n");
+    run_local(async move {
+        let addr = peer(answer, b"4\r\nbody\r\n").await;
+        let (_platform, router) = router_before(addr).await;
+        let call = Call::get("/once/a").time_left_ms(20_000);
+        let got = tokio::time::timeout(Duration::from_secs(4), call.send(router.front)).await;
+        assert!(got.is_ok_and(|got| got.status() >= 500));
+    });
+}
--- a/tests/tests.rs
+++ b/tests/tests.rs
@@ -25,6 +25,7 @@
 mod test_gateway_decisions;
 mod test_gateway_fatal;
 mod test_gateway_homes;
+mod test_gateway_malformed;
 mod test_gateway_notices;
 mod test_gateway_orders;
 mod test_gateway_origins;
