HTTP: interim responses count toward the limit of a response's head

What callers saw: a target in trouble sends interim responses (1xx) without end, and the caller waits for its deadline.

read_response now subtracts what was skipped from the limit, so that interim responses and the head after them share it. Beyond it the answer is unreadable, as for a head that is too long: the request may have run, and the caller gets 502 or another target's answer.

Ruled out: a limit on their number, since one interim response may be as long as the head's limit itself.

--- a/src/http1/conn.rs
+++ b/src/http1/conn.rs
@@ -228,16 +228,21 @@
         }
     }
 
-    /// Reads a response head of at most `max` bytes.
+    /// Reads a response head. Together with the interim responses before it, it has at most `max`
+    /// bytes.
     ///
     /// # Errors
     /// See [`HeadError`].
     pub async fn read_response(&mut self, max: usize) -> Result<ResponseHead, HeadError> {
+        let mut left = max;
         loop {
+            let before = self.buf.len();
             if let Some(head) = parse_response(&mut self.buf).map_err(HeadError::Invalid)? {
                 return Ok(head);
             }
-            self.read_more_of_head(max).await?;
+            let skipped = before - self.buf.len();
+            left = left.checked_sub(skipped).ok_or(HeadError::TooLong)?;
+            self.read_more_of_head(left).await?;
         }
     }
 
