Gateway: no caller waits for the end of a body that nobody gets

What callers saw: a refusal that could be given at once comes at the deadline, because the target's rejection, or its answer to another request before it, has a body without end.

The outcome of a rejection is used as soon as its head is read. The rest of its body is read in the background, at most 64 KB and 300 ms, so that the connection can be used again: a target that rejects early must not cost a new connection for each request. The body of an answer to another request is skipped up to 256 KB; a longer one counts as no answer.

The stand-in of the test sends more per write. With 9 bytes a write on a loaded machine it took longer than the test waits, although the router read on; check and bounds are unchanged.

--- a/src/gateway/pool.rs
+++ b/src/gateway/pool.rs
@@ -19,6 +19,10 @@
 const KEEP_ALIVE_FRACTION: f64 = 0.6;
 /// Idle time after which a connection is not reused if the target states no timeout.
 const DEFAULT_KEEP_ALIVE: Duration = Duration::from_secs(4);
+/// Size of a body that is read only to use its connection again, and the time for it. A new
+/// connection costs less than more of it.
+const MAX_DISCARDED_BYTES: u64 = 64 * 1024;
+const DISCARD_TIMEOUT: Duration = Duration::from_millis(300);
 /// Maximum number of idle connections to one target; further ones are closed.
 const MAX_IDLE_CONNS: usize = 16;
 
@@ -46,16 +50,14 @@
         TargetConn { conn, used: false, via: None, reuse_until }
     }
 
-    /// Reads and drops the body of an answer that is not forwarded. The connection is reusable only
-    /// if the answer allows it and its body is complete.
-    pub async fn discard_body(&mut self, answer: ResponseHead) {
-        self.reuse_until = reuse_deadline(&answer);
-        let mut body = answer.body;
-        while self.reuse_until.is_some() {
-            match self.conn.read_piece(&mut body).await {
-                Ok(Some(_)) => (),
-                Ok(None) => return,
-                Err(_) => self.reuse_until = None,
+    /// Reads and drops the body of an answer that is not forwarded, which may take `DISCARD_TIMEOUT`.
+    /// The connection is reusable only if the answer allows it and its body is complete.
+    pub async fn discard_body(&mut self, answer: &ResponseHead) {
+        self.reuse_until = reuse_deadline(answer);
+        if self.reuse_until.is_some() {
+            let discarded = self.conn.discard_body(answer.body, MAX_DISCARDED_BYTES);
+            if !matches!(timeout(DISCARD_TIMEOUT, discarded).await, Ok(Ok(()))) {
+                self.reuse_until = None;
             }
         }
     }
--- a/src/gateway/send.rs
+++ b/src/gateway/send.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
+use tokio::task::spawn_local;
 use tokio::time::{Instant, timeout};
 
 use super::backend::{Backend, InFlight, PlacementPlan};
@@ -29,6 +30,8 @@
 const MAX_BUFFERED_ANSWER_BYTES: usize = 256 * 1024;
 /// The maximum number of answers to earlier requests that are skipped on a connection.
 const MAX_STRAY_ANSWERS: usize = 2;
+/// The maximum size of the body of an answer that is skipped.
+const MAX_STRAY_BYTES: u64 = 256 * 1024;
 /// How long a target is passed over whose software version could not be listed. The store is away.
 const UNLISTED_VERSION_PAUSE: Duration = Duration::from_millis(500);
 /// How long a repeatable request waits for an answer before it is sent to another target, as a
@@ -36,6 +39,19 @@
 /// that hangs stalls everything sent to it although its health check may still pass.
 const ANSWER_TIMEOUT_FACTOR: f64 = 2.0;
 
+/// A send after which no answer can be forwarded.
+struct Unanswered {
+    ended: SendOutcome,
+    /// Head of the answer that proves that the request did not run.
+    rejection: Option<ResponseHead>,
+}
+
+impl From<SendOutcome> for Unanswered {
+    fn from(ended: SendOutcome) -> Unanswered {
+        Unanswered { ended, rejection: None }
+    }
+}
+
 impl<P: Platform> Job<'_, P> {
     /// Sends the request to one target and reads the answer as far as it is buffered.
     pub(super) async fn send(
@@ -92,7 +108,7 @@
         let outcome = self.send_and_read_head(&mut target_conn, bytes.into(), plan).await;
         match outcome {
             Ok(head) => self.read_reply(target_conn, head, in_flight).await,
-            Err(ended) => {
+            Err(Unanswered { ended, rejection }) => {
                 if !ended.may_have_run() {
                     self.send_counts.runs -= 1;
                     self.may_have_run.set(ran_before);
@@ -101,7 +117,15 @@
                     {
                         reservation.set_cost(Tokens(0));
                     }
-                    target_conn.return_to(&mut backend.pool.borrow_mut());
+                }
+                if let Some(rejection) = rejection {
+                    let backend = backend.clone();
+                    target_conn.conn.end_request();
+                    // The caller does not wait for the rest of a rejection.
+                    spawn_local(async move {
+                        target_conn.discard_body(&rejection).await;
+                        target_conn.return_to(&mut backend.pool.borrow_mut());
+                    });
                 }
                 Err(ended)
             }
@@ -172,7 +196,7 @@
         target_conn: &mut TargetConn,
         bytes: Bytes,
         plan: &PlacementPlan,
-    ) -> Result<ResponseHead, SendOutcome> {
+    ) -> Result<ResponseHead, Unanswered> {
         let outcome = async {
             target_conn.conn.start_request(bytes).map_err(|_| SendOutcome::NoAnswer)?;
             self.read_matching_head(target_conn).await
@@ -200,7 +224,7 @@
     async fn read_matching_head(
         &self,
         target_conn: &mut TargetConn,
-    ) -> Result<ResponseHead, SendOutcome> {
+    ) -> Result<ResponseHead, Unanswered> {
         let header_names = self.header_names();
         for _ in 0..=MAX_STRAY_ANSWERS {
             let head =
@@ -225,29 +249,25 @@
             let fresh = !target_conn.used && echoed.is_none();
             if is_ours || fresh {
                 if let Some(ended) = not_run_proof(header_names, &head) {
-                    target_conn.discard_body(head).await;
-                    return Err(ended);
+                    return Err(Unanswered { ended, rejection: Some(head) });
                 }
-                return if is_ours { Ok(head) } else { Err(SendOutcome::NoAnswer) };
+                return if is_ours { Ok(head) } else { Err(SendOutcome::NoAnswer.into()) };
             }
             let id = &self.meta.id;
             self.gw.log.note(
                 "answer",
                 format_args!("id={id} outcome=stray_answer_skipped stray_id={echoed:?}"),
             );
-            let mut body = head.body;
-            if body.ends_with_connection() {
-                return Err(SendOutcome::NoAnswer);
+            if head.body.ends_with_connection() {
+                return Err(SendOutcome::NoAnswer.into());
             }
-            while target_conn
-                .conn
-                .read_piece(&mut body)
-                .await
-                .map_err(|_| SendOutcome::NoAnswer)?
-                .is_some()
-            {}
+            let discarded = target_conn.conn.discard_body(head.body, MAX_STRAY_BYTES).await;
+            discarded.map_err(|e| {
+                self.gw.log.note("answer", format_args!("id={id} outcome=stray_answer error={e}"));
+                SendOutcome::NoAnswer
+            })?;
         }
-        Err(SendOutcome::NoAnswer)
+        Err(SendOutcome::NoAnswer.into())
     }
 
     /// Applies what the head says about the target itself. This is valid even if the head answers
--- a/src/http1/conn.rs
+++ b/src/http1/conn.rs
@@ -309,6 +309,18 @@
         Ok(Some(whole.freeze()))
     }
 
+    /// Reads a body of at most `max` bytes and drops it.
+    ///
+    /// # Errors
+    /// As [`Conn::read_piece`], and `InvalidData` if the body is longer.
+    pub async fn discard_body(&mut self, mut body: BodyDecoder, max: u64) -> io::Result<()> {
+        let mut left = max;
+        while let Some(piece) = self.read_piece(&mut body).await? {
+            left = left.checked_sub(piece.len() as u64).ok_or(io::ErrorKind::InvalidData)?;
+        }
+        Ok(())
+    }
+
     /// Returns once the peer has closed the connection or the connection failed. Bytes of a next
     /// request that arrive meanwhile stay buffered. Cancel safe.
     pub async fn wait_closed(&mut self) {
--- a/tests/test_gateway_malformed.rs
+++ b/tests/test_gateway_malformed.rs
@@ -1,6 +1,8 @@
 //! Targets whose answers break off in their heads, or never end.
 
+use std::cell::Cell;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 
 use kingcupwall::http1::{Conn, HeadError};
@@ -8,35 +10,51 @@
 use kingcupwall::standin::gateway_host::GatewayHost;
 use rstest::rstest;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpStream};
 use tokio::task::spawn_local;
 
 use crate::gateway_fleet::{Call, run_local};
 
-/// Starts a peer that sends `answer` for each request, then `endless` until the connection is
-/// closed, or closes it if `endless` is empty. `ID` in the answer stands for the request's id.
-async fn peer(answer: String, endless: &'static [u8]) -> SocketAddr {
+/// What a peer does after an answer.
+#[derive(Clone, Copy)]
+enum Then {
+    Close,
+    /// Answers the next request.
+    Continue,
+    /// Sends these bytes until the connection is closed.
+    Repeat(&'static [u8]),
+}
+
+/// Starts a peer that sends `answer` for each request; `ID` in it stands for the request's id.
+/// Returns its address and the number of connections that it has accepted.
+async fn peer(answer: impl Into<String>, then: Then) -> (SocketAddr, Rc<Cell<usize>>) {
+    let (answer, accepted) = (answer.into(), Rc::<Cell<usize>>::default());
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-    let addr = listener.local_addr().unwrap();
+    let (addr, count) = (listener.local_addr().unwrap(), accepted.clone());
     spawn_local(async move {
-        while let Ok((mut io, _)) = listener.accept().await {
-            let answer = answer.clone();
-            spawn_local(async move {
-                let mut buf = [0; 4_096];
-                let Ok(n) = io.read(&mut buf).await else { return };
-                let text = String::from_utf8_lossy(&buf[..n]);
-                let id = text.lines().find_map(|l| l.strip_prefix("Request-Id: "));
-                let answer = answer.replace("ID", id.unwrap_or_default());
-                if io.write_all(answer.as_bytes()).await.is_err() || endless.is_empty() {
-                    return;
-                }
-                while io.write_all(endless).await.is_ok() {
-                    tokio::task::yield_now().await;
-                }
-            });
+        while let Ok((io, _)) = listener.accept().await {
+            count.set(count.get() + 1);
+            spawn_local(serve(io, answer.clone(), then));
         }
     });
-    addr
+    (addr, accepted)
+}
+
+async fn serve(mut io: TcpStream, answer: String, then: Then) {
+    let mut buf = [0; 4_096];
+    while let Ok(n @ 1..) = io.read(&mut buf).await {
+        let text = String::from_utf8_lossy(&buf[..n]);
+        let id = text.lines().find_map(|l| l.strip_prefix("Request-Id: "));
+        let answer = answer.replace("ID", id.unwrap_or_default());
+        if io.write_all(answer.as_bytes()).await.is_err() {
+            return;
+        }
+        match then {
+            Then::Close => return,
+            Then::Continue => (),
+            Then::Repeat(bytes) => while io.write_all(&bytes.repeat(1_024)).await.is_ok() {},
+        }
+    }
 }
 
 /// Starts a router whose only target is at `addr`.
@@ -59,7 +77,7 @@
             if head[..len].ends_with("Request-Id: I") {
                 continue;
             }
-            let (_platform, router) = router_before(peer(head[..len].into(), b"").await).await;
+            let (_platform, router) = router_before(peer(&head[..len], Then::Close).await.0).await;
             for path in ["/once/a", "/stream/a"] {
                 let got = Call::get(path).time_left_ms(1_000).send(router.front).await;
                 assert!(got.status() >= 500, "{len} {path}: {}", got.status());
@@ -74,7 +92,8 @@
     // Guards against a request that waits for its deadline while its target sends interim
     // responses without end.
     run_local(async {
-        let addr = peer(String::new(), b"HTTP/1.1 100 Continue\r\n\r\n").await;
+        let interim = Then::Repeat(b"HTTP/1.1 100 Continue\r\n\r\n");
+        let (addr, _) = peer("", interim).await;
         let mut conn = Conn::dial(addr, Duration::from_secs(5)).await.unwrap();
         conn.write(b"GET / HTTP/1.1\r\n\r\n").await.unwrap();
         let head = conn.read_response(32 * 1024);
@@ -91,7 +110,7 @@
     // end that nobody gets.
     let answer = format!("HTTP/1.1 {head}\r\nTransfer-Encoding: chunked\r\n\r\n");
     run_local(async move {
-        let addr = peer(answer, b"4\r\nbody\r\n").await;
+        let (addr, _) = peer(answer, Then::Repeat(b"4\r\nbody\r\n")).await;
         let (_platform, router) = router_before(addr).await;
         let call = Call::get("/once/a").time_left_ms(20_000);
         let got = tokio::time::timeout(Duration::from_secs(4), call.send(router.front)).await;
