HTTP: chunk extensions and trailers of a body are bounded

Each line had a limit, their number had none, and no limit on the payload covers them, also in requests.

decode_chunked_dropped_bytes_are_bounded fails before in both cases: the decoder asks for more after 64 KB. Now such bytes are counted, and more than 16 KB in one body are invalid framing.

--- a/src/http1/body.rs
+++ b/src/http1/body.rs
@@ -6,6 +6,9 @@
 const MAX_LINE_BYTES: usize = 512;
 /// The maximum number of hexadecimal digits in a chunk size.
 const MAX_CHUNK_SIZE_DIGITS: usize = 8;
+/// The maximum number of bytes of chunk extensions and trailer lines in one body. They are dropped,
+/// so that no limit on the payload covers them.
+const MAX_DROPPED_BYTES: usize = 16 * 1024;
 
 /// State of a decoder.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -41,37 +44,45 @@
 
 /// Extracts the payload of one body from the bytes of a connection.
 #[derive(Clone, Copy, Debug)]
-pub struct BodyDecoder(State);
+pub struct BodyDecoder {
+    state: State,
+    /// Bytes of chunk extensions and trailer lines so far.
+    dropped: usize,
+}
 
 impl BodyDecoder {
+    fn new(state: State) -> BodyDecoder {
+        BodyDecoder { state, dropped: 0 }
+    }
+
     /// Decodes a body of `n` bytes.
     pub fn length(n: u64) -> BodyDecoder {
-        BodyDecoder(if n == 0 { State::Done } else { State::Length(n) })
+        BodyDecoder::new(if n == 0 { State::Done } else { State::Length(n) })
     }
 
     /// Decodes a body with chunked transfer coding.
     pub fn chunked() -> BodyDecoder {
-        BodyDecoder(State::ChunkSize)
+        BodyDecoder::new(State::ChunkSize)
     }
 
     /// Decodes a body that ends when the connection closes.
     pub fn until_close() -> BodyDecoder {
-        BodyDecoder(State::UntilClose)
+        BodyDecoder::new(State::UntilClose)
     }
 
     /// Whether the body ends only when the connection closes.
     pub fn ends_with_connection(&self) -> bool {
-        self.0 == State::UntilClose
+        self.state == State::UntilClose
     }
 
     /// Whether the body is complete.
     pub fn is_done(&self) -> bool {
-        self.0 == State::Done
+        self.state == State::Done
     }
 
     /// The number of remaining bytes; `None` if the length is not known in advance.
     pub fn known_length(&self) -> Option<u64> {
-        match self.0 {
+        match self.state {
             State::Length(n) => Some(n),
             State::Done => Some(0),
             _ => None,
@@ -81,44 +92,51 @@
     /// Takes the next piece of payload from the front of `buf`.
     pub fn decode(&mut self, buf: &mut BytesMut) -> Step {
         loop {
-            match self.0 {
+            match self.state {
                 State::Done => return Step::Done,
                 _ if buf.is_empty() => return Step::NeedMore,
                 State::UntilClose => return Step::Piece(buf.split().freeze()),
                 State::Length(left) => {
                     let (piece, left) = take_up_to(buf, left);
-                    self.0 = if left == 0 { State::Done } else { State::Length(left) };
+                    self.state = if left == 0 { State::Done } else { State::Length(left) };
                     return Step::Piece(piece);
                 }
                 State::Chunk(left) => {
                     let (piece, left) = take_up_to(buf, left);
-                    self.0 = if left == 0 { State::ChunkEnd } else { State::Chunk(left) };
+                    self.state = if left == 0 { State::ChunkEnd } else { State::Chunk(left) };
                     return Step::Piece(piece);
                 }
                 State::ChunkEnd if buf.len() < 2 => return Step::NeedMore,
                 State::ChunkEnd if buf.starts_with(b"\r\n") => {
                     buf.advance(2);
-                    self.0 = State::ChunkSize;
+                    self.state = State::ChunkSize;
                 }
                 State::ChunkEnd => return Step::Invalid,
                 State::ChunkSize => match take_crlf_line(buf) {
                     Line::NeedMore => return Step::NeedMore,
                     Line::Invalid => return Step::Invalid,
                     Line::Whole(l) => match parse_chunk_size(&l) {
+                        Some((_, extension)) if !self.may_drop(extension) => return Step::Invalid,
                         None => return Step::Invalid,
-                        Some(0) => self.0 = State::Trailer,
-                        Some(n) => self.0 = State::Chunk(n),
+                        Some((0, _)) => self.state = State::Trailer,
+                        Some((n, _)) => self.state = State::Chunk(n),
                     },
                 },
                 State::Trailer => match take_crlf_line(buf) {
                     Line::NeedMore => return Step::NeedMore,
                     Line::Invalid => return Step::Invalid,
-                    Line::Whole(l) if l.is_empty() => self.0 = State::Done,
+                    Line::Whole(l) if l.is_empty() => self.state = State::Done,
+                    Line::Whole(l) if !self.may_drop(l.len()) => return Step::Invalid,
                     Line::Whole(_) => (),
                 },
             }
         }
     }
+
+    fn may_drop(&mut self, n: usize) -> bool {
+        self.dropped += n;
+        self.dropped <= MAX_DROPPED_BYTES
+    }
 }
 
 /// The chunk that ends a body with chunked transfer coding.
@@ -164,7 +182,8 @@
     }
 }
 
-fn parse_chunk_size(line: &[u8]) -> Option<u64> {
+/// The chunk's size, and the length of its extensions.
+fn parse_chunk_size(line: &[u8]) -> Option<(u64, usize)> {
     let digits = line.split(|b| *b == b';').next()?.trim_ascii_end();
     let hex = !digits.is_empty()
         && digits.len() <= MAX_CHUNK_SIZE_DIGITS
@@ -172,5 +191,6 @@
     if !hex {
         return None;
     }
-    u64::from_str_radix(std::str::from_utf8(digits).ok()?, 16).ok()
+    let size = u64::from_str_radix(std::str::from_utf8(digits).ok()?, 16).ok()?;
+    Some((size, line.len() - digits.len()))
 }
--- a/tests/test_http1.rs
+++ b/tests/test_http1.rs
@@ -102,6 +102,19 @@
     assert_eq!(end, Step::Invalid);
 }
 
+/// Guards against a body that is read without end because its chunks carry extensions, or its
+/// trailer has lines, that nobody gets.
+#[rstest]
+#[case::extensions("1;x=yyyyyyyyyyyyyyyyyyyyyyyyyyyyyy\r\na\r\n")]
+#[case::trailer("X: yyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyy\r\n")]
+fn decode_chunked_dropped_bytes_are_bounded(#[case] endless: &str) {
+    let begin = if endless.starts_with('1') { "" } else { "0\r\n" };
+    let text = |bytes: usize| begin.to_owned() + &endless.repeat(bytes / endless.len());
+    let whole = |bytes| text(bytes) + if begin.is_empty() { "0\r\n\r\n" } else { "\r\n" };
+    assert_eq!(decode(BodyDecoder::chunked(), whole(8 * 1024).as_bytes(), 7).1, Step::Done);
+    assert_eq!(decode(BodyDecoder::chunked(), text(64 * 1024).as_bytes(), 7).1, Step::Invalid);
+}
+
 #[test]
 fn decode_cut_is_not_whole() {
     assert_eq!(decode(BodyDecoder::length(5), b"1234", 2).1, Step::NeedMore);
