HTTP: two answers of which the first broke off in its head are not read as one

Cause: a faulty target sends the beginning of an earlier answer, cut anywhere in its head, before the next one. The parser takes the second status line for the rest of a reason phrase or of a header's value, and the router trusts the status and the proof of a request that did not run of the first answer, with the id of the second.

Evidence: parse_response_after_cut_head and answer_after_one_cut_in_its_head cut a head at each byte; both fail before, so do answer_with_several_ids_is_unknown and the second case of connection_with_stray_answer_is_not_used_again.

A response head that contains a status line after its beginning is malformed; one with different ids is unreadable; a connection that carried an answer to another request is closed after the current one. All of these count as "may have run". Why it holds: a status line that follows a cut head ends up either in a line of that head, which is searched, or makes it unparsable.

--- a/src/gateway/send.rs
+++ b/src/gateway/send.rs
@@ -20,7 +20,7 @@
 use super::request::{AddedHeaders, HeaderNames, encode_request};
 use super::state::Platform;
 use super::stats::count_notice;
-use crate::http1::{BodyDecoder, HeadError, ResponseHead, header};
+use crate::http1::{BodyDecoder, HeadError, Header, ResponseHead, header};
 use crate::ids::Tokens;
 
 /// The longest accepted response head.
@@ -226,28 +226,30 @@
         target_conn: &mut TargetConn,
     ) -> Result<ResponseHead, Unanswered> {
         let header_names = self.header_names();
-        for _ in 0..=MAX_STRAY_ANSWERS {
-            let head =
+        for skipped in 0..=MAX_STRAY_ANSWERS {
+            let mut head =
                 target_conn.conn.read_response(MAX_RESPONSE_HEAD_BYTES).await.map_err(|e| {
-                    let id = &self.meta.id;
-                    let used = target_conn.used;
                     let cause = match e {
                         HeadError::Closed => "closed",
                         HeadError::Broken(_) => "broken",
                         HeadError::Invalid(_) => "not_http",
                         HeadError::TooLong => "head_too_long",
                     };
-                    self.gw.log.note(
-                        "answer",
-                        format_args!("id={id} outcome=unreadable cause={cause} kept={used}"),
-                    );
+                    self.log_unreadable(cause, target_conn.used);
                     SendOutcome::NoAnswer
                 })?;
+            let mut echoes = head.headers.iter().filter(|h| h.is(&header_names.request_id));
+            let echoed = echoes.next().and_then(Header::text);
+            if echoes.any(|h| h.text() != echoed) {
+                self.log_unreadable("several_ids", target_conn.used);
+                return Err(SendOutcome::NoAnswer.into());
+            }
             self.apply_notice(&head);
-            let echoed = header(&head.headers, &header_names.request_id);
             let is_ours = echoed == Some(self.meta.id.as_str());
             let fresh = !target_conn.used && echoed.is_none();
             if is_ours || fresh {
+                // Behind this answer, parts of others may follow as well.
+                head.keep_alive &= skipped == 0;
                 if let Some(ended) = not_run_proof(header_names, &head) {
                     return Err(Unanswered { ended, rejection: Some(head) });
                 }
@@ -270,6 +272,13 @@
         Err(SendOutcome::NoAnswer.into())
     }
 
+    fn log_unreadable(&self, cause: &str, used: bool) {
+        let id = &self.meta.id;
+        self.gw
+            .log
+            .note("answer", format_args!("id={id} outcome=unreadable cause={cause} kept={used}"));
+    }
+
     /// Applies what the head says about the target itself. This is valid even if the head answers
     /// another request.
     fn apply_notice(&self, head: &ResponseHead) {
--- a/src/http1/head.rs
+++ b/src/http1/head.rs
@@ -8,6 +8,9 @@
 /// The maximum number of header lines in a head.
 const MAX_HEADER_LINES: usize = 96;
 
+/// Length of a status line up to its status code.
+const STATUS_LINE_BYTES: usize = "HTTP/1.1 200".len();
+
 /// One header line.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Header {
@@ -175,6 +178,18 @@
     Ok(Some(RequestHead { method, target, headers, body, keep_alive, http11, expects_continue }))
 }
 
+/// Whether a response head contains the status line of another response. Then the first one broke
+/// off in a line of its head, and the parser takes the status line for the rest of that line.
+fn contains_second_status_line(head: &[u8]) -> bool {
+    let is_status_line = |w: &[u8]| {
+        w.starts_with(b"HTTP/1.")
+            && w[7].is_ascii_digit()
+            && w[8] == b' '
+            && w[9..].iter().all(u8::is_ascii_digit)
+    };
+    head.windows(STATUS_LINE_BYTES).skip(1).any(is_status_line)
+}
+
 /// Takes a response head from the front of `buf`; `None` while it is incomplete. Interim responses
 /// (1xx) are skipped.
 ///
@@ -193,6 +208,9 @@
         let headers = copy_headers(res.headers);
         let reason = CompactString::from(res.reason.unwrap_or_default());
         let http11 = res.version == Some(1);
+        if contains_second_status_line(&buf[..len]) {
+            return Err(InvalidHead::Malformed);
+        }
         buf.advance(len);
         if (100..200).contains(&status) {
             continue;
--- a/tests/test_gateway_malformed.rs
+++ b/tests/test_gateway_malformed.rs
@@ -117,3 +117,50 @@
         assert!(got.is_ok_and(|got| got.status() >= 500));
     });
 }
+
+#[test]
+fn answer_after_one_cut_in_its_head() {
+    // Guards against an answer that is read with the status, and the proof of a request that did not
+    // run, of an earlier answer on the connection that broke off in its head.
+    run_local(async {
+        let stray = "HTTP/1.1 503 Busy\r\nNot-Run: 1\r\nServer: s\r\nContent-Length: 0\r\n\r\n";
+        let answer = "HTTP/1.1 200 OK\r\nRequest-Id: ID\r\nSeal: s\r\nContent-Length: 2\r\n\r\nok";
+        for len in 0..stray.len() {
+            let (addr, _) = peer(format!("{}{answer}", &stray[..len]), Then::Continue).await;
+            let (_platform, router) = router_before(addr).await;
+            let got = Call::get("/once/a").time_left_ms(1_000).send(router.front).await;
+            assert_eq!(got.status(), if len == 0 { 200 } else { 502 }, "{len}");
+            router.kill();
+        }
+    });
+}
+
+#[test]
+fn answer_with_several_ids_is_unknown() {
+    // Guards against the head of two answers that a target has mixed up.
+    run_local(async {
+        let answer = "HTTP/1.1 503 Busy\r\nRequest-Id: ID\r\nRequest-Id: other\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n";
+        let (addr, _) = peer(answer, Then::Continue).await;
+        let (_platform, router) = router_before(addr).await;
+        let got = Call::get("/once/a").time_left_ms(1_000).send(router.front).await;
+        assert_eq!(got.status(), 502);
+    });
+}
+
+#[rstest]
+#[case::in_step("", 1)]
+#[case::after_stray_answer("HTTP/1.1 200 OK\r\nRequest-Id: other\r\nContent-Length: 0\r\n\r\n", 3)]
+fn connection_with_stray_answer_is_not_used_again(#[case] stray: &str, #[case] expected: usize) {
+    // Guards against a connection whose answers belong to other requests than the latest one.
+    let answer = "HTTP/1.1 200 OK\r\nRequest-Id: ID\r\nSeal: s\r\nContent-Length: 2\r\n\r\nok";
+    let answer = format!("{stray}{answer}");
+    run_local(async move {
+        let (addr, accepted) = peer(answer, Then::Continue).await;
+        let (_platform, router) = router_before(addr).await;
+        for n in 0..3 {
+            let got = Call::get("/once/a").id(&format!("q{n}")).send(router.front).await;
+            assert_eq!((got.status(), got.body.as_str()), (200, "ok"));
+        }
+        assert_eq!(accepted.get(), expected);
+    });
+}
--- a/tests/test_http1.rs
+++ b/tests/test_http1.rs
@@ -59,6 +59,23 @@
     assert_eq!(head.keep_alive, keep_alive);
 }
 
+/// Guards against two responses that are taken for one, because the first one broke off within its
+/// head.
+#[rstest]
+#[case::final_response("HTTP/1.1 503 Service Unavailable")]
+#[case::interim_response("HTTP/1.1 103 Early Hints")]
+fn parse_response_after_cut_head(#[case] status_line: &str) {
+    let cut =
+        format!("{status_line}\r\nNot-Run: 1\r\nServer: \u{e9} x\r\nContent-Length: 0\r\n\r\n");
+    let next = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+    for len in 1..cut.len() {
+        let mut buf = BytesMut::from(&cut.as_bytes()[..len]);
+        buf.extend_from_slice(next);
+        let parsed = parse_response(&mut buf);
+        assert!(parsed.is_err(), "{len}: {parsed:?}");
+    }
+}
+
 #[test]
 fn keep_alive_timeout() {
     let text = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\nKeep-Alive: max=5, timeout=7\r\n\r\n";
