Gateway: a success without the target's receipt is no success

What callers would see: 200 with an empty body that looks whole, from a target whose head broke off before its length, receipt and headers, and was ended by a blank line. An answer without a length ends with its connection, so that nothing was missing by its framing.

Each success of a target has a receipt, and a success without it counts for no caller. So its absence shows that the head is not whole: no answer, the request may have run.

--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -45,6 +45,8 @@
     pub expect_target: CompactString,
     /// A target's proof that it did not run the request.
     pub not_run: CompactString,
+    /// A target's receipt. Each success has one, so that a success without it is not whole.
+    pub receipt: CompactString,
     /// A target's announcement that it is about to stop.
     pub leaving: CompactString,
     /// How many requests a target can reject within one second without a crash.
--- a/src/gateway/send.rs
+++ b/src/gateway/send.rs
@@ -253,6 +253,11 @@
                 if let Some(ended) = not_run_proof(header_names, &head) {
                     return Err(Unanswered { ended, rejection: Some(head) });
                 }
+                let is_success = (200..300).contains(&head.status);
+                if is_success && header(&head.headers, &header_names.receipt).is_none() {
+                    self.log_unreadable("no_receipt", target_conn.used);
+                    return Err(SendOutcome::NoAnswer.into());
+                }
                 return if is_ours { Ok(head) } else { Err(SendOutcome::NoAnswer.into()) };
             }
             let id = &self.meta.id;
--- a/src/standin/gateway.rs
+++ b/src/standin/gateway.rs
@@ -58,6 +58,7 @@
         organisation: ORGANISATION.into(),
         expect_target: EXPECT_TARGET.into(),
         not_run: NOT_RUN.into(),
+        receipt: SEAL.into(),
         leaving: LEAVING.into(),
         rejection_limit: REJECTION_LIMIT.into(),
         reserved: vec![ORGANISATION.into(), EXPECT_TARGET.into(), NOT_RUN.into(), SEAL.into()],
--- a/tests/test_gateway_malformed.rs
+++ b/tests/test_gateway_malformed.rs
@@ -164,3 +164,21 @@
         assert_eq!(accepted.get(), expected);
     });
 }
+
+#[rstest]
+#[case::no_body("")]
+#[case::events("id: 1\ndata: x\n\n")]
+fn success_without_receipt_is_no_success(
+    #[case] body: &str,
+    #[values("/once/a", "/stream/a")] path: &str,
+) {
+    // Guards against a success that ends with its connection, although its head broke off before the
+    // length and a blank line followed.
+    let answer = format!("HTTP/1.1 200 OK\r\nRequest-Id: ID\r\n\r\n{body}");
+    run_local(async move {
+        let (addr, _) = peer(answer, Then::Close).await;
+        let (_platform, router) = router_before(addr).await;
+        let got = Call::get(path).time_left_ms(1_000).send(router.front).await;
+        assert_eq!(got.status(), 502);
+    });
+}
