Gateway: the check of the path to targets draws targets that run

Targets whose processes are known to have ended are drawn only if there are not enough others, also for the probes of a router that is cut off.

--- a/src/gateway/connect.rs
+++ b/src/gateway/connect.rs
@@ -188,7 +188,7 @@
         return verdict;
     }
     let check_began = Instant::now();
-    let checked = fastrand::choose_multiple(gw.targets.all(), CHECKED_TARGETS);
+    let checked = gw.targets.draw_for_check(CHECKED_TARGETS);
     let mut own = Box::pin(open_any(gw, &checked));
     let relayed = || async {
         timeout(RELAYED_CHECK_TIMEOUT, open_any_relayed(gw, &checked)).await.unwrap_or(false)
@@ -262,7 +262,7 @@
     loop {
         gw.path.wait_partitioned().await;
         sleep(RETURN_PROBE_INTERVAL).await;
-        let probed = fastrand::choose_multiple(gw.targets.all(), CHECKED_TARGETS);
+        let probed = gw.targets.draw_for_check(CHECKED_TARGETS);
         if !open_any(&gw, &probed).await {
             continue;
         }
--- a/src/gateway/targets.rs
+++ b/src/gateway/targets.rs
@@ -255,6 +255,16 @@
         self.all.borrow().clone()
     }
 
+    /// Up to `n` random targets that show whether this router reaches targets at all. Those whose
+    /// processes have ended accept no connections; they are drawn only if there are no others.
+    pub fn draw_for_check(&self, n: usize) -> Vec<Rc<Backend>> {
+        let (ended, others): (Vec<_>, Vec<_>) =
+            self.all().into_iter().partition(|b| b.process_state.has_ended());
+        let mut drawn = fastrand::choose_multiple(others, n);
+        drawn.extend(fastrand::choose_multiple(ended, n - drawn.len()));
+        drawn
+    }
+
     /// The ids of all targets.
     pub fn ids(&self) -> Vec<CompactString> {
         self.all.borrow().iter().map(|b| b.id()).collect()
--- a/tests/test_gateway_partition.rs
+++ b/tests/test_gateway_partition.rs
@@ -8,6 +8,7 @@
 
 use kingcupwall::gateway::backend::target_digest;
 use kingcupwall::gateway::cold::WarmUp;
+use kingcupwall::gateway::connect::{check_path, connect};
 use kingcupwall::gateway::drain;
 use kingcupwall::gateway::path::{Prefer, Relay, TargetPath, Verdict};
 use kingcupwall::gateway::tunnel::{self, TunnelError};
@@ -673,3 +674,29 @@
         assert_eq!(fleet.routers[0].gw.targets.count_cold(), 0);
     });
 }
+
+#[test]
+fn check_path_while_most_targets_have_ended() {
+    // Guards against a router that takes itself for cut off, and refuses requests, because its check
+    // connects to targets only that have ended.
+    run_local(async {
+        let platform = LocalPlatform::new();
+        platform.configure(catalog_parts(1, 100_000_000));
+        let mut targets = Vec::new();
+        for n in 0..10 {
+            let target = StandinTarget::start(&format!("t{n}"), "model", "zone-1").await.unwrap();
+            platform.register(&target, "ready");
+            targets.push(target);
+        }
+        let router = GatewayHost::start(&platform, "r1", "zone-1", 1).await.unwrap();
+        let gw = &router.gw;
+        eventually("all targets are known", || gw.targets.all().len() == targets.len()).await;
+        targets[1..].iter().for_each(StandinTarget::crash);
+        for backend in gw.targets.all().iter().filter(|b| b.id() != targets[0].id) {
+            assert!(connect(gw, backend, |_| true).await.is_err());
+        }
+        for _ in 0..20 {
+            assert_eq!(check_path(gw, Instant::now()).await, Verdict::Reachable);
+        }
+    });
+}
