Tests: killed routers send nothing more; the overload tests use a paused clock

Cause 1: the tests of targets in danger run 12 routers and five targets on one thread in real time, with answers expected within 30 ms. If the machine does not schedule the thread, all owners look silent at once. With the paused clock the time that passes depends on the tasks alone.

Cause 2, seen in the log of a play with the paused clock: GatewayHost::kill ended the router's own tasks and not those of its connections. Requests that a killed router held went on, found no owner, because nobody received the answers, and were sent on its share. Now a host runs in a LocalSet of its own, which is dropped as a whole.

The checks and bounds are unchanged. They still find the fault: with admissions switched off, 13 of 13 tests are red, with 6, 13, 15, 21 and 25 crashes in the five cases.

--- a/src/standin/gateway_host.rs
+++ b/src/standin/gateway_host.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use tokio::net::{TcpListener, UdpSocket};
-use tokio::task::JoinHandle;
+use tokio::task::{JoinHandle, LocalSet, spawn_local};
 use tokio::time::sleep;
 
 use super::gateway::{LocalPlatform, process_id, settings};
@@ -27,6 +27,8 @@
     /// Log of the gateway.
     pub log: Log,
     tasks: Vec<JoinHandle<()>>,
+    /// Runs all tasks of the gateway, also those of its connections.
+    process: JoinHandle<()>,
 }
 
 impl GatewayHost {
@@ -51,8 +53,13 @@
         let own_id = process_id(instance, incarnation);
         let settings = gateway::Settings { peer, ..settings(instance, zone, front) };
         let gw = Gateway::new(platform.clone(), settings, own_id, log.clone());
-        let tasks = gateway::start(&gw, listener, socket, tunnel_listener);
-        let host = GatewayHost { front, gw, platform, log, tasks };
+        let local = LocalSet::new();
+        let tasks = {
+            let _entered = local.enter();
+            gateway::start(&gw, listener, socket, tunnel_listener)
+        };
+        let process = spawn_local(local);
+        let host = GatewayHost { front, gw, platform, log, tasks, process };
         while !host.is_serving() {
             sleep(READY_POLL_INTERVAL).await;
         }
@@ -69,10 +76,10 @@
         self.tasks[0].abort();
     }
 
-    /// Stops the gateway like a killed process: it admits and writes nothing more, and callers get
-    /// no notice.
+    /// Stops the gateway like a killed process: it admits, sends and writes nothing more, and callers
+    /// get no notice.
     pub fn kill(self) {
         self.gw.budget_shares.halt();
-        self.tasks.iter().for_each(JoinHandle::abort);
+        self.process.abort();
     }
 }
--- a/tests/test_gateway_overload.rs
+++ b/tests/test_gateway_overload.rs
@@ -20,6 +20,15 @@
 
 use crate::gateway_fleet::{Call, run_local};
 
+/// Runs a test with a clock that advances only while all tasks wait, so that the time for which this
+/// process is not scheduled does not count.
+fn run_paused(test: impl Future<Output = ()>) {
+    run_local(async {
+        tokio::time::pause();
+        test.await;
+    });
+}
+
 const SLOTS: usize = 6;
 const WORK: Duration = Duration::from_millis(60);
 /// Queue of a target before and while it is overload-sensitive.
@@ -227,7 +236,7 @@
 #[case::bursts(Load { routers: 20, zones: FIVE_TARGETS, utilization: 0.5, skewed_to: None, burst: 12 }, 3)]
 #[case::many_routers(Load { routers: 20, zones: FIVE_TARGETS, utilization: 0.7, skewed_to: Some("zone-3"), burst: 3 }, 1)]
 fn rejections_crash_no_targets(#[case] load: Load, #[case] rejection_limit: u32) {
-    run_local(async move {
+    run_paused(async move {
         let outcome = run(&load, Some(rejection_limit)).await;
         assert!(outcome.crashes.get() <= 1, "{outcome:?}");
     });
@@ -263,7 +272,7 @@
 #[case::routers_start(Trouble::RoutersStart(4))]
 #[case::routers_hear_late(Trouble::RoutersIdle(6))]
 fn rejections_crash_no_targets_in_trouble(#[case] trouble: Trouble) {
-    run_local(async move {
+    run_paused(async move {
         let outcome = run_with(&BUSY, Some(2), trouble).await;
         assert!(outcome.crashes.get() <= 1, "{trouble:?} {outcome:?}");
         assert!(outcome.served.get() * 10 >= outcome.sent.get() * 7, "{trouble:?} {outcome:?}");
@@ -386,7 +395,7 @@
 #[case::overload(Load { routers: 6, zones: THREE_ZONES, utilization: 1.3, skewed_to: None, burst: 1 }, 10)]
 #[case::bursts(Load { routers: 20, zones: FIVE_TARGETS, utilization: 0.5, skewed_to: None, burst: 12 }, 3)]
 fn rejection_limit_keeps_throughput(#[case] load: Load, #[case] rejection_limit: u32) {
-    run_local(async move {
+    run_paused(async move {
         let limits = [None, Some(rejection_limit)];
         let [reference, outcome] =
             <[_; 2]>::try_from(join_all(limits.map(|l| run(&load, l))).await).unwrap();
