--- a/tests/test_gateway_versions.rs
+++ b/tests/test_gateway_versions.rs
@@ -304,6 +304,8 @@
         let streams = fleet.interrupted_streams().await;
         refused(streams[0].resume(), &fleet).await;
         let mut broken = 0;
+        // Whichever target gets the first stream.
+        fleet.targets.iter().for_each(|t| t.fail(&[TargetFault::CutsStream(BREAK_AFTER)]));
         for n in 0..10 {
             fleet.targets[0].fail(&[TargetFault::CutsStream(BREAK_AFTER)]);
             let got = stream(&format!("q{n}")).send(fleet.front(0)).await;
