--- a/tests/test_gateway_malformed.rs
+++ b/tests/test_gateway_malformed.rs
@@ -13,7 +13,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::spawn_local;
 
-use crate::gateway_fleet::{Call, run_local};
+use crate::gateway_fleet::{Call, eventually, run_local};
 
 /// What a peer does after an answer.
 #[derive(Clone, Copy)]
@@ -25,19 +25,29 @@
     Repeat(&'static [u8]),
 }
 
+/// The connections of a peer.
+#[derive(Default)]
+struct Connections {
+    accepted: Cell<usize>,
+    ended: Cell<usize>,
+}
+
 /// Starts a peer that sends `answer` for each request; `ID` in it stands for the request's id.
-/// Returns its address and the number of connections that it has accepted.
-async fn peer(answer: impl Into<String>, then: Then) -> (SocketAddr, Rc<Cell<usize>>) {
-    let (answer, accepted) = (answer.into(), Rc::<Cell<usize>>::default());
+async fn peer(answer: impl Into<String>, then: Then) -> (SocketAddr, Rc<Connections>) {
+    let (answer, connections) = (answer.into(), Rc::<Connections>::default());
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-    let (addr, count) = (listener.local_addr().unwrap(), accepted.clone());
+    let (addr, counts) = (listener.local_addr().unwrap(), connections.clone());
     spawn_local(async move {
         while let Ok((io, _)) = listener.accept().await {
-            count.set(count.get() + 1);
-            spawn_local(serve(io, answer.clone(), then));
+            counts.accepted.set(counts.accepted.get() + 1);
+            let (answer, counts) = (answer.clone(), counts.clone());
+            spawn_local(async move {
+                serve(io, answer, then).await;
+                counts.ended.set(counts.ended.get() + 1);
+            });
         }
     });
-    (addr, accepted)
+    (addr, connections)
 }
 
 async fn serve(mut io: TcpStream, answer: String, then: Then) {
@@ -52,7 +62,10 @@
         match then {
             Then::Close => return,
             Then::Continue => (),
-            Then::Repeat(bytes) => while io.write_all(&bytes.repeat(1_024)).await.is_ok() {},
+            Then::Repeat(bytes) => {
+                while io.write_all(&bytes.repeat(1_024)).await.is_ok() {}
+                return;
+            }
         }
     }
 }
@@ -110,11 +123,13 @@
     // end that nobody gets.
     let answer = format!("HTTP/1.1 {head}\r\nTransfer-Encoding: chunked\r\n\r\n");
     run_local(async move {
-        let (addr, _) = peer(answer, Then::Repeat(b"4\r\nbody\r\n")).await;
+        let (addr, connections) = peer(answer, Then::Repeat(b"4\r\nbody\r\n")).await;
         let (_platform, router) = router_before(addr).await;
         let call = Call::get("/once/a").time_left_ms(20_000);
         let got = tokio::time::timeout(Duration::from_secs(4), call.send(router.front)).await;
         assert!(got.is_ok_and(|got| got.status() >= 500));
+        // Nor does the router read on when the request has been answered.
+        eventually("the connection is closed", || connections.ended.get() > 0).await;
     });
 }
 
@@ -155,13 +170,13 @@
     let answer = "HTTP/1.1 200 OK\r\nRequest-Id: ID\r\nSeal: s\r\nContent-Length: 2\r\n\r\nok";
     let answer = format!("{stray}{answer}");
     run_local(async move {
-        let (addr, accepted) = peer(answer, Then::Continue).await;
+        let (addr, connections) = peer(answer, Then::Continue).await;
         let (_platform, router) = router_before(addr).await;
         for n in 0..3 {
             let got = Call::get("/once/a").id(&format!("q{n}")).send(router.front).await;
             assert_eq!((got.status(), got.body.as_str()), (200, "ok"));
         }
-        assert_eq!(accepted.get(), expected);
+        assert_eq!(connections.accepted.get(), expected);
     });
 }
 
