--- a/tests/test_allowance_fleet_random.rs
+++ b/tests/test_allowance_fleet_random.rs
@@ -85,11 +85,39 @@
     ]
 }
 
+/// Steps around the return of an idle grant: the write's answer is lost, and the holder's next calls
+/// are rejected while there are requests again. A router spends its own grant or that of a lender.
+fn lost_return() -> impl Strategy<Value = Vec<Step>> {
+    let routers = (0..ROUTERS, 0..ROUTERS);
+    let requests = (1_u64..4, 2_u64..1_000, 1_u64..500);
+    // The grant is returned after 10 s without requests.
+    let times = (9_000_u64..10_500, 0_u64..1_500, 0_u64..3_000);
+    (routers, requests, times, any::<bool>()).prop_map(|(routers, requests, times, is_late)| {
+        let ((r, holder), (n, max_cost, ms), (idle, lost, rejected)) = (routers, requests, times);
+        vec![
+            Step::Requests(r, n, max_cost, 90, ms),
+            Step::Wait(ms + idle),
+            Step::SetFault(holder, if is_late { LATE } else { LOSE_ANSWERS }),
+            Step::Wait(lost),
+            Step::SetFault(holder, REJECT),
+            Step::Wait(rejected),
+            Step::Requests(r, n, max_cost, 100, ms),
+            Step::Wait(rejected),
+            Step::ClearFault(holder),
+        ]
+    })
+}
+
+/// Numbers of faults, see [`fault`].
+const REJECT: u8 = 0;
+const LOSE_ANSWERS: u8 = 2;
+const LATE: u8 = 3;
+
 fn fault(n: u8) -> Fault {
     match n {
-        0 => Fault::Reject(503),
+        REJECT => Fault::Reject(503),
         1 => Fault::Silent,
-        2 => Fault::LoseAnswers,
+        LOSE_ANSWERS => Fault::LoseAnswers,
         _ => Fault::Late(Duration::from_millis(3_000)),
     }
 }
@@ -181,6 +209,19 @@
         in_virtual_time(seed, run_schedule(prepaid, 1, &steps));
     }
 
+    /// Guards against a grant that is spent on although a write that returned it took effect.
+    #[test]
+    fn fleet_never_overspends_after_lost_returns(
+        prepaid in 1_000_u64..20_000,
+        zones in 1_usize..4,
+        rounds in proptest::collection::vec(lost_return(), 1..5),
+        others in proptest::collection::vec(step(), 0..6),
+        seed in any::<u64>(),
+    ) {
+        let steps: Vec<_> = rounds.into_iter().flatten().chain(others).collect();
+        in_virtual_time(seed, run_schedule(prepaid, zones, &steps));
+    }
+
     #[test]
     fn rows_decode_arbitrary_bytes(bytes in proptest::collection::vec(any::<u8>(), 0..200)) {
         // Arbitrary bytes in a row must cause no panic and no partial result.
