Tests: the interim case of parse_response_after_cut_head finds its fault

The head of the next answer was skipped with the interim response, and its body, "ok", made the parse fail, which the test took for the right outcome. The next answer has no body now. With only the search for a second status line switched off both cases are red (at 13 bytes: status 503 with the reason "HTTP/1.1 200 OK", and no answer at all), and so is answer_after_one_cut_in_its_head; with it all three are green. The check is the same.

Findings: two guards that no test covers alone.

--- a/tests/test_http1.rs
+++ b/tests/test_http1.rs
@@ -67,7 +67,8 @@
 fn parse_response_after_cut_head(#[case] status_line: &str) {
     let cut =
         format!("{status_line}\r\nNot-Run: 1\r\nServer: \u{e9} x\r\nContent-Length: 0\r\n\r\n");
-    let next = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+    // Without a body, so that nothing after a head that is skipped is unreadable.
+    let next = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
     for len in 1..cut.len() {
         let mut buf = BytesMut::from(&cut.as_bytes()[..len]);
         buf.extend_from_slice(next);
