HTTP: a response with a status outside 100 to 599 is malformed

Cause: httparse accepts any three digits as a status code, and a head counted as valid if it could be parsed. No code of ours compared the status with anything but 421, 2xx and 5xx.

Evidence: answer_with_status_out_of_range_is_unreadable, a stand-in target behind a router, fails before in all 12 cases: 000, 600 and 999 are passed on, the last two with the target's receipt, and 099 with the header of a request that did not run becomes a 503. Without a router parse_response_status_out_of_range fails at 000, also after an interim response. Both hold now.

Ruled out by reading: a check that comes too late; a status of a router's own (the list of those is closed).

Why it holds: every answer of a target or a relay passes parse_response, and the check comes before the interim responses are skipped and before the head's notices, its proof of a request that did not run and its framing are used. The request may have run, so that the caller gets 502, and it is sent again where that is allowed. Answers read by reqwest: the parser there rejects codes below 100, and those above 599 count as failures (read, not run).

--- a/src/http1/head.rs
+++ b/src/http1/head.rs
@@ -1,5 +1,7 @@
 //! Parsing of request and response heads, including how their bodies are framed.
 
+use std::ops::RangeInclusive;
+
 use bytes::{Buf, Bytes, BytesMut};
 use compact_str::CompactString;
 
@@ -8,6 +10,9 @@
 /// The maximum number of header lines in a head.
 const MAX_HEADER_LINES: usize = 96;
 
+/// Status codes of interim and final responses; see RFC 9110, section 15.
+const STATUS_CODES: RangeInclusive<u16> = 100..=599;
+
 /// Length of a status line up to its status code.
 const STATUS_LINE_BYTES: usize = "HTTP/1.1 200".len();
 
@@ -86,7 +91,7 @@
 /// The head of a response.
 #[derive(Clone, Debug)]
 pub struct ResponseHead {
-    /// Status code.
+    /// Status code from 200 to 599.
     pub status: u16,
     /// Reason phrase as sent.
     pub reason: CompactString,
@@ -208,7 +213,8 @@
         let headers = copy_headers(res.headers);
         let reason = CompactString::from(res.reason.unwrap_or_default());
         let http11 = res.version == Some(1);
-        if contains_second_status_line(&buf[..len]) {
+        // The parser accepts any three digits.
+        if !STATUS_CODES.contains(&status) || contains_second_status_line(&buf[..len]) {
             return Err(InvalidHead::Malformed);
         }
         buf.advance(len);
--- a/tests/test_gateway_malformed.rs
+++ b/tests/test_gateway_malformed.rs
@@ -197,3 +197,25 @@
         assert_eq!(got.status(), 502);
     });
 }
+
+#[rstest]
+#[case::zero("000 Nothing")]
+#[case::below_interim("099 Low\r\nNot-Run: 1")]
+#[case::above_server_errors("600 High")]
+#[case::highest("999 High\r\nRetry-After: 1")]
+fn answer_with_status_out_of_range_is_unreadable(
+    #[case] status: &str,
+    #[values("/safe/a", "/once/a", "/stream/a")] path: &str,
+) {
+    // Guards against a caller that gets a status which HTTP does not have.
+    let answer =
+        format!("HTTP/1.1 {status}\r\nRequest-Id: ID\r\nSeal: s\r\nContent-Length: 2\r\n\r\nok");
+    run_local(async move {
+        let (addr, connections) = peer(answer, Then::Continue).await;
+        let (_platform, router) = router_before(addr).await;
+        let got = Call::get(path).time_left_ms(1_000).send(router.front).await;
+        assert_eq!((got.status(), got.header("Seal")), (502, None));
+        // Its connection is out of step.
+        eventually("the connection is closed", || connections.ended.get() > 0).await;
+    });
+}
--- a/tests/test_http1.rs
+++ b/tests/test_http1.rs
@@ -77,6 +77,22 @@
     }
 }
 
+/// Guards against bytes that are taken for a response although their status code is none.
+#[rstest]
+#[case::after_no_response("")]
+#[case::after_interim_response("HTTP/1.1 103 Early Hints\r\n\r\n")]
+fn parse_response_status_out_of_range(#[case] before: &str) {
+    for status in 0..1_000 {
+        let text = format!("{before}HTTP/1.1 {status:03} X\r\nContent-Length: 0\r\n\r\n");
+        let parsed = parse_response(&mut BytesMut::from(text.as_str()));
+        match status {
+            100..200 => assert!(matches!(parsed, Ok(None)), "{status}: {parsed:?}"),
+            200..600 => assert_eq!(parsed.unwrap().map(|h| h.status), Some(status)),
+            _ => assert!(matches!(parsed, Err(InvalidHead::Malformed)), "{status}: {parsed:?}"),
+        }
+    }
+}
+
 #[test]
 fn keep_alive_timeout() {
     let text = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\nKeep-Alive: max=5, timeout=7\r\n\r\n";
