HTTP: the end of a connection that was reset is no end of an answer

What callers saw (MIXED): a target answers a long upload at once with a 200 without a length, sends a part of its body and resets the connection while the upload is still being written. The caller gets that part as a complete answer.

Cause: the kernel reports a reset to one call. While a request is being written that is the write, whose error was logged and forgotten, since a target that rejects a long request and closes has often answered. The read after it returns 0, as at an orderly end.

Evidence: answer_reset_during_upload_is_incomplete (a stand-in target behind a router; plain and stream; the reset with the part or 50 ms later) fails before in all four cases: status 200, complete, "part". Ruled out: a failed read that is taken for an end (none fails), and a part that the kernel drops.

Conn remembers why it failed, whichever call was told, and then reports no orderly end to any reader. What arrived before is still read.

Why it holds: 0 from the socket is the only way to an end, and it is checked in one place against every error of a read or write before it.

--- a/src/http1/conn.rs
+++ b/src/http1/conn.rs
@@ -48,6 +48,9 @@
     io: TcpStream,
     buf: BytesMut,
     eof: bool,
+    /// Why the connection failed. The socket reports that to one call only, and to later reads as if
+    /// the peer had closed the connection.
+    failure: Option<io::ErrorKind>,
     /// Whether a message was begun and not written whole. The peer would take whatever is sent next
     /// for the rest of it.
     has_unsent: bool,
@@ -78,6 +81,7 @@
             io,
             buf: BytesMut::new(),
             eof: false,
+            failure: None,
             has_unsent: false,
             in_request: false,
             unsent: Bytes::new(),
@@ -159,8 +163,19 @@
         }
     }
 
-    /// Receives bytes from the socket, and meanwhile writes the rest of a request.
+    /// Receives bytes from the socket, and meanwhile writes the rest of a request. Returns 0 only if
+    /// the peer has closed the connection, and not after a failure.
     async fn receive(&mut self) -> io::Result<usize> {
+        let received = self.receive_and_send().await;
+        match (&received, self.failure) {
+            (Ok(0), Some(failure)) => return Err(failure.into()),
+            (Err(e), _) => self.failure = Some(e.kind()),
+            (Ok(_), _) => (),
+        }
+        received
+    }
+
+    async fn receive_and_send(&mut self) -> io::Result<usize> {
         if self.buf.is_empty() && self.buf.capacity() > MAX_READ_AHEAD_BYTES {
             self.buf = BytesMut::new();
         }
@@ -172,6 +187,10 @@
                 // A target that rejects a request and closes the connection may have answered.
                 log::debug!("conn unsent={} error={e}", self.unsent.len());
                 self.unsent.clear();
+                // A broken pipe means that the peer had closed the connection before it was reset.
+                if e.kind() != io::ErrorKind::BrokenPipe {
+                    self.failure = Some(e.kind());
+                }
             }
             let (io, buf) = self.receive_buf();
             match io.try_read_buf(buf) {
--- a/tests/test_gateway_malformed.rs
+++ b/tests/test_gateway_malformed.rs
@@ -9,8 +9,9 @@
 use kingcupwall::standin::gateway::{LocalPlatform, catalog_parts};
 use kingcupwall::standin::gateway_host::GatewayHost;
 use rstest::rstest;
+use socket2::SockRef;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::{TcpSocket, TcpStream};
 use tokio::task::spawn_local;
 
 use crate::gateway_fleet::{Call, eventually, run_local};
@@ -23,8 +24,19 @@
     Continue,
     /// Sends these bytes until the connection is closed.
     Repeat(&'static [u8]),
+    /// Resets the connection after a pause.
+    Reset(Duration),
+    /// Ends the answer by closing its direction of the connection, and resets it after a pause.
+    EndAndReset(Duration),
 }
 
+/// Bytes that a peer's connection buffers.
+const WINDOW: u32 = 4_096;
+/// Segment size of Ethernet. With the loopback interface's own, a sender's buffer holds megabytes.
+const SEGMENT_BYTES: u32 = 1_460;
+/// Length of a body that does not fit into the buffers of a connection.
+const LONG_BODY: usize = 512 * 1024;
+
 /// The connections of a peer.
 #[derive(Default)]
 struct Connections {
@@ -35,7 +47,11 @@
 /// Starts a peer that sends `answer` for each request; `ID` in it stands for the request's id.
 async fn peer(answer: impl Into<String>, then: Then) -> (SocketAddr, Rc<Connections>) {
     let (answer, connections) = (answer.into(), Rc::<Connections>::default());
-    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let sock = TcpSocket::new_v4().unwrap();
+    sock.set_recv_buffer_size(WINDOW).unwrap();
+    SockRef::from(&sock).set_tcp_mss(SEGMENT_BYTES).unwrap();
+    sock.bind("127.0.0.1:0".parse().unwrap()).unwrap();
+    let listener = sock.listen(64).unwrap();
     let (addr, counts) = (listener.local_addr().unwrap(), connections.clone());
     spawn_local(async move {
         while let Ok((io, _)) = listener.accept().await {
@@ -66,10 +82,22 @@
                 while io.write_all(&bytes.repeat(1_024)).await.is_ok() {}
                 return;
             }
+            Then::Reset(pause) => return reset(io, pause).await,
+            Then::EndAndReset(pause) => {
+                io.shutdown().await.unwrap();
+                return reset(io, pause).await;
+            }
         }
     }
 }
 
+async fn reset(io: TcpStream, pause: Duration) {
+    if !pause.is_zero() {
+        tokio::time::sleep(pause).await;
+    }
+    SockRef::from(&io).set_linger(Some(Duration::ZERO)).unwrap();
+}
+
 /// Starts a router whose only target is at `addr`.
 async fn router_before(addr: SocketAddr) -> (LocalPlatform, GatewayHost) {
     let platform = LocalPlatform::new();
@@ -219,3 +247,42 @@
         eventually("the connection is closed", || connections.ended.get() > 0).await;
     });
 }
+
+#[rstest]
+#[case::plain("/once/a", "part")]
+#[case::stream("/stream/a", "id: 1\ndata: x\n\n")]
+fn answer_reset_during_upload_is_incomplete(
+    #[case] path: &str,
+    #[case] part: &str,
+    #[values(0, 50)] pause_ms: u64,
+) {
+    // Guards against an answer without a length that passes for complete, because the reset of its
+    // connection is reported to the write of the request and not to a read.
+    let answer = format!("HTTP/1.1 200 OK\r\nRequest-Id: ID\r\nSeal: s\r\n\r\n{part}");
+    run_local(async move {
+        let then = Then::Reset(Duration::from_millis(pause_ms));
+        let (_platform, router) = router_before(peer(answer, then).await.0).await;
+        let got = Call::get(path).body(&"1".repeat(LONG_BODY)).send(router.front).await;
+        let is_visible = got.status() == 502 || path == "/stream/a" && !got.is_complete;
+        assert!(is_visible, "{} complete={} {}", got.status(), got.is_complete, got.body);
+    });
+}
+
+#[rstest]
+#[case::ended("", Then::EndAndReset)]
+#[case::with_length("Content-Length: 5\r\n", Then::Reset)]
+fn answer_whole_before_reset_is_complete(
+    #[case] length: &str,
+    #[case] then: fn(Duration) -> Then,
+    #[values(0, 50)] pause_ms: u64,
+) {
+    // Guards against a complete answer that is lost, because its target does not read the rest of the
+    // request.
+    let answer = format!("HTTP/1.1 200 OK\r\nRequest-Id: ID\r\nSeal: s\r\n{length}\r\nwhole");
+    run_local(async move {
+        let then = then(Duration::from_millis(pause_ms));
+        let (_platform, router) = router_before(peer(answer, then).await.0).await;
+        let got = Call::get("/once/a").body(&"1".repeat(LONG_BODY)).send(router.front).await;
+        assert_eq!((got.status(), got.body.as_str(), got.is_complete), (200, "whole", true));
+    });
+}
