Gateway: a relay whose write to the target fails resets its tunnel

What a caller could see (MIXED): a part of an answer without a length as a complete one, behind a router of a version that does not ask for a marked end and reaches the target through a relay.

Evidence: relayed_answer_reset_during_upload_is_incomplete, case unmarked_end, fails before at the first or second of 20 tunnels (which direction the relay looks at first is random); marked_end held before, since an end without the last chunk is a failure. Both hold now.

An error in either direction now resets both connections; only an orderly end of the router or of the target counts as one. The connection to the target is reset as well where a read from it or a write to the router failed: bytes of the request that are held up must not arrive later. Such tunnels are logged as "reset", also those that a router resets because it gives up.

--- a/src/gateway/tunnel.rs
+++ b/src/gateway/tunnel.rs
@@ -214,6 +214,12 @@
     }
 }
 
+/// A side of a tunnel.
+enum Side {
+    Router,
+    Target,
+}
+
 /// Copies bytes in both directions until one side closes; the target's in chunks if `is_framed` is
 /// set. Returns which side did.
 async fn splice(mut router: Conn, mut target: Conn, is_framed: bool) -> &'static str {
@@ -232,18 +238,18 @@
             copy(&mut target_rd, &mut router_wr).await.map(drop)
         }
     };
-    let ended = tokio::select! {
-        // The request is cancelled: closing the target's connection stops its work.
-        _ = up => None,
-        ended = down => Some(ended),
+    let closed_by = tokio::select! {
+        up = up => up.map(|_| Side::Router),
+        down = down => down.map(|()| Side::Target),
     };
-    match ended {
-        None => {
-            // Its bytes may still be held up between this router and the target.
+    match closed_by {
+        Ok(Side::Router) => {
+            // The request is cancelled: closing the target's connection stops its work. Its bytes
+            // may still be held up between this router and the target.
             target.set_reset_on_close(true);
             "router_closed"
         }
-        Some(Ok(_)) => {
+        Ok(Side::Target) => {
             // The router's bytes are read to the end, because a connection that is closed with
             // unread bytes is reset, and the reset could overtake the answer.
             let closed = async {
@@ -256,10 +262,11 @@
             let _ = timeout(CLOSE_TIMEOUT, closed).await;
             "target_closed"
         }
-        Some(Err(_)) => {
-            // A target's answer that is delimited by the end of its connection must not look
-            // complete.
+        Err(_) => {
+            // The target's reset may be reported to either direction. An answer that is delimited
+            // by the end of its connection must not look complete.
             router.set_reset_on_close(true);
+            target.set_reset_on_close(true);
             "reset"
         }
     }
--- a/tests/test_gateway_malformed.rs
+++ b/tests/test_gateway_malformed.rs
@@ -5,13 +5,14 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use kingcupwall::http1::{Conn, HeadError};
+use kingcupwall::gateway::backend::target_digest;
+use kingcupwall::http1::{BodyDecoder, Conn, HeadError, RelayFraming};
 use kingcupwall::standin::gateway::{LocalPlatform, catalog_parts};
 use kingcupwall::standin::gateway_host::GatewayHost;
 use rstest::rstest;
 use socket2::SockRef;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::{TcpSocket, TcpStream};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::task::spawn_local;
 
 use crate::gateway_fleet::{Call, eventually, run_local};
@@ -286,3 +287,42 @@
         assert_eq!((got.status(), got.body.as_str(), got.is_complete), (200, "whole", true));
     });
 }
+
+/// Opens a tunnel through `relay` to the target `t1`, as a router does that asks for `framing`.
+async fn open_tunnel(relay: SocketAddr, framing: &str) -> Option<Conn> {
+    let mut conn = Conn::dial(relay, Duration::from_secs(5)).await.ok()?;
+    let digest = target_digest("t1");
+    let connect = format!("CONNECT {digest:016x} HTTP/1.1\r\nHost: {digest:016x}\r\n{framing}\r\n");
+    conn.write(connect.as_bytes()).await.ok()?;
+    let head = conn.read_response(1_024).await.ok()?;
+    let chunks = || RelayFraming::Chunked(BodyDecoder::chunked());
+    let conn = if framing.is_empty() { conn } else { conn.behind_relay(chunks()) };
+    (head.status == 200).then_some(conn)
+}
+
+#[rstest]
+#[case::marked_end("Tunnel-Framing: chunked\r\n")]
+#[case::unmarked_end("")]
+fn relayed_answer_reset_during_upload_is_incomplete(#[case] framing: &'static str) {
+    // Guards against a relay that ends a tunnel in order because the reset of its target is reported
+    // to the write of the request.
+    run_local(async move {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let (platform, relay) = router_before(listener.local_addr().unwrap()).await;
+        let _router = GatewayHost::start(&platform, "r2", "zone-1", 1).await.unwrap();
+        eventually("the relay knows the router", || !relay.gw.peers.borrow().is_empty()).await;
+        // The relay looks at either direction first.
+        for n in 0..20 {
+            let opened = open_tunnel(relay.gw.settings.peer, framing).await;
+            let (mut conn, (mut target, _)) = (opened.unwrap(), listener.accept().await.unwrap());
+            conn.write(b"POST / HTTP/1.1\r\nContent-Length: 9\r\n\r\n").await.unwrap();
+            assert!(target.read(&mut [0; 256]).await.unwrap() > 0);
+            target.write_all(b"HTTP/1.1 200 OK\r\n\r\npart").await.unwrap();
+            let head = conn.read_response(1_024).await.unwrap();
+            reset(target, Duration::ZERO).await;
+            conn.start_request("more".into()).unwrap();
+            let body = conn.read_body(head.body, |_| true).await;
+            assert!(body.is_err(), "{n}: {body:?}");
+        }
+    });
+}
