HTTP: a lone line feed in a response's head makes it malformed

The caller gets 200 with the rest of the head as the body. Reported from other systems for blanks and control bytes in names.

Cause: httparse takes a line feed alone for a line end. At the begin of a name it is the blank line that ends the head; the length that follows is lost, and the body ends with the connection. Within a value it makes a second field of the rest.

Evidence: answer_with_invalid_field_name_is_unreadable, a stand-in target behind a router, 14 lines on three kinds of route: the cases line_feed_first (3 of 3) and line_feed_in_value (2 of 3) fail before with status 200, all others held. Without a router parse_response_invalid_field_name, with each byte that no name may hold at each position, fails for the line feed at position 0, in two of three cases. Ruled out: names that are no tokens pass the parser (all other bytes are rejected; parse_response_invalid_field_value held as well).

Why it holds: every answer of a target or a relay passes parse_response, and a head without a lone line feed has the lines that it was sent with. The request may have run, so that the caller gets 502, and it is sent again where that is allowed.

--- a/src/http1/head.rs
+++ b/src/http1/head.rs
@@ -195,6 +195,12 @@
     head.windows(STATUS_LINE_BYTES).skip(1).any(is_status_line)
 }
 
+/// Whether a line of a head ends without a carriage return. The parser takes such a line feed for a
+/// line end, so that one within a field would split it, or end the head.
+fn contains_lone_line_feed(head: &[u8]) -> bool {
+    head.starts_with(b"\n") || head.windows(2).any(|w| w[1] == b'\n' && w[0] != b'\r')
+}
+
 /// Takes a response head from the front of `buf`; `None` while it is incomplete. Interim responses
 /// (1xx) are skipped.
 ///
@@ -213,8 +219,12 @@
         let headers = copy_headers(res.headers);
         let reason = CompactString::from(res.reason.unwrap_or_default());
         let http11 = res.version == Some(1);
+        let head = &buf[..len];
         // The parser accepts any three digits.
-        if !STATUS_CODES.contains(&status) || contains_second_status_line(&buf[..len]) {
+        if !STATUS_CODES.contains(&status)
+            || contains_second_status_line(head)
+            || contains_lone_line_feed(head)
+        {
             return Err(InvalidHead::Malformed);
         }
         buf.advance(len);
--- a/tests/test_gateway_malformed.rs
+++ b/tests/test_gateway_malformed.rs
@@ -288,6 +288,36 @@
     });
 }
 
+#[rstest]
+#[case::blank("Content Length: 2")]
+#[case::blank_before_colon("Content-Length : 2")]
+#[case::blank_first(" Content-Length: 2")]
+#[case::tab_first("\tContent-Length: 2")]
+#[case::tab("Content\tLength: 2")]
+#[case::null("Content-\0Length: 2")]
+#[case::delete("Content-Length\x7f: 2")]
+#[case::carriage_return("Content\r-Length: 2")]
+#[case::carriage_return_first("\rContent-Length: 2")]
+#[case::line_feed("Content\n-Length: 2")]
+#[case::line_feed_first("\nContent-Length: 2")]
+#[case::line_feed_in_value("X: 1\nContent-Length: 2")]
+#[case::empty(": 2")]
+#[case::no_colon("Content-Length")]
+fn answer_with_invalid_field_name_is_unreadable(
+    #[case] field: &str,
+    #[values("/safe/a", "/once/a", "/stream/a")] path: &str,
+) {
+    // Guards against a caller that gets a line which is no field, or the rest of a head as a body.
+    let answer = format!(
+        "HTTP/1.1 200 OK\r\nRequest-Id: ID\r\nSeal: s\r\n{field}\r\n\r\nid: 1\ndata: x\n\n"
+    );
+    run_local(async move {
+        let (_platform, router) = router_before(peer(answer, Then::Close).await.0).await;
+        let got = Call::get(path).time_left_ms(1_000).send(router.front).await;
+        assert_eq!(got.status(), 502, "{}", got.body);
+    });
+}
+
 /// Opens a tunnel through `relay` to the target `t1`, as a router does that asks for `framing`.
 async fn open_tunnel(relay: SocketAddr, framing: &str) -> Option<Conn> {
     let mut conn = Conn::dial(relay, Duration::from_secs(5)).await.ok()?;
--- a/tests/test_http1.rs
+++ b/tests/test_http1.rs
@@ -93,6 +93,44 @@
     }
 }
 
+/// Bytes that no name of a field may hold; a line feed ends the line.
+fn bytes_outside_names() -> impl Iterator<Item = u8> {
+    let allowed = |b: &u8| b.is_ascii_alphanumeric() || b"!#$%&'*+-.^_`|~:".contains(b);
+    (0..=255).filter(move |b| !allowed(b))
+}
+
+/// Guards against a response with a line that is no field, which would be passed on, or would hide
+/// how the body is framed.
+#[rstest]
+#[case::final_response("HTTP/1.1 200 OK\r\n", "Content-Length: 2\r\n\r\nok")]
+#[case::first_field("HTTP/1.1 200 OK\r\nX: 1\r\n", "\r\nok")]
+#[case::interim_response("HTTP/1.1 103 Early Hints\r\n", "\r\nHTTP/1.1 204 None\r\n\r\n")]
+fn parse_response_invalid_field_name(#[case] before: &str, #[case] after: &str) {
+    for byte in bytes_outside_names() {
+        for at in 0..="Content-Length".len() {
+            let mut name = b"Content-Length".to_vec();
+            name.insert(at, byte);
+            let text = [before.as_bytes(), &name, b": 1\r\n", after.as_bytes()].concat();
+            let parsed = parse_response(&mut BytesMut::from(&text[..]));
+            assert!(
+                matches!(parsed, Err(InvalidHead::Malformed)),
+                "{:?}: {parsed:?}",
+                name.escape_ascii().to_string()
+            );
+        }
+    }
+}
+
+/// Guards against the same for a field's value.
+#[test]
+fn parse_response_invalid_field_value() {
+    for byte in (0..=31).chain([127]).filter(|b| *b != b'\t') {
+        let text = [b"HTTP/1.1 200 OK\r\nX: a", &[byte][..], b"b\r\n\r\n"].concat();
+        let parsed = parse_response(&mut BytesMut::from(&text[..]));
+        assert!(matches!(parsed, Err(InvalidHead::Malformed)), "{byte}: {parsed:?}");
+    }
+}
+
 #[test]
 fn keep_alive_timeout() {
     let text = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\nKeep-Alive: max=5, timeout=7\r\n\r\n";
