HTTP: 101 is no interim response to skip

What callers saw (MIXED): a target answers with 101, although no request asks for another protocol, and callers get what follows as the answer; if nothing follows, 504 at the deadline.

Cause: parse_response skipped every status from 100 to 199. After 101 the bytes belong to another protocol. The class of the status out of range: a value that can be parsed is taken for one that is allowed.

Evidence: answer_after_switch_of_protocols_is_unreadable fails before in four of six cases (200 where an answer follows, on routes whose requests may and may not be repeated; 504 where nothing does), and parse_response_status_out_of_range at 101. The cases that held: a stream whose body is no event, and a request that was sent again until its last attempt.

Why it holds: Upgrade and Connection are never forwarded, so that no target may switch; the connection is closed after a malformed head.

--- a/src/http1/head.rs
+++ b/src/http1/head.rs
@@ -12,6 +12,8 @@
 
 /// Status codes of interim and final responses; see RFC 9110, section 15.
 const STATUS_CODES: RangeInclusive<u16> = 100..=599;
+/// Status of a peer that switches to another protocol, which no request asks for.
+const SWITCHING_PROTOCOLS: u16 = 101;
 
 /// Length of a status line up to its status code.
 const STATUS_LINE_BYTES: usize = "HTTP/1.1 200".len();
@@ -202,7 +204,7 @@
 }
 
 /// Takes a response head from the front of `buf`; `None` while it is incomplete. Interim responses
-/// (1xx) are skipped.
+/// (1xx) are skipped, except 101.
 ///
 /// # Errors
 /// `Malformed` or `UnknownCoding` if the bytes are not a valid response.
@@ -222,6 +224,7 @@
         let head = &buf[..len];
         // The parser accepts any three digits.
         if !STATUS_CODES.contains(&status)
+            || status == SWITCHING_PROTOCOLS
             || contains_second_status_line(head)
             || contains_lone_line_feed(head)
         {
--- a/tests/test_gateway_malformed.rs
+++ b/tests/test_gateway_malformed.rs
@@ -249,6 +249,26 @@
     });
 }
 
+#[rstest]
+#[case::answer_of_another_protocol(
+    "HTTP/1.1 200 OK\r\nRequest-Id: ID\r\nSeal: s\r\nContent-Length: 2\r\n\r\nok"
+)]
+#[case::no_answer("HTTP/1.1 101 Switching Protocols\r\n\r\n")]
+fn answer_after_switch_of_protocols_is_unreadable(
+    #[case] after: &str,
+    #[values("/safe/a", "/once/a", "/stream/a")] path: &str,
+) {
+    // Guards against bytes of another protocol that pass for an answer, after a target has switched to
+    // one that no request asked for.
+    let answer = format!("HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\n\r\n{after}");
+    run_local(async move {
+        let (_platform, router) = router_before(peer(answer, Then::Continue).await.0).await;
+        let call = Call::get(path).with_header("Connection: upgrade").with_header("Upgrade: x");
+        let got = call.time_left_ms(1_000).send(router.front).await;
+        assert_eq!(got.status(), 502);
+    });
+}
+
 #[rstest]
 #[case::plain("/once/a", "part")]
 #[case::stream("/stream/a", "id: 1\ndata: x\n\n")]
--- a/tests/test_http1.rs
+++ b/tests/test_http1.rs
@@ -86,8 +86,9 @@
         let text = format!("{before}HTTP/1.1 {status:03} X\r\nContent-Length: 0\r\n\r\n");
         let parsed = parse_response(&mut BytesMut::from(text.as_str()));
         match status {
-            100..200 => assert!(matches!(parsed, Ok(None)), "{status}: {parsed:?}"),
+            100 | 102..200 => assert!(matches!(parsed, Ok(None)), "{status}: {parsed:?}"),
             200..600 => assert_eq!(parsed.unwrap().map(|h| h.status), Some(status)),
+            // After 101 the bytes belong to a protocol that no request asks for.
             _ => assert!(matches!(parsed, Err(InvalidHead::Malformed)), "{status}: {parsed:?}"),
         }
     }
