--- a/tests/test_gateway_malformed.rs
+++ b/tests/test_gateway_malformed.rs
@@ -270,16 +270,19 @@
 }
 
 #[rstest]
-#[case::plain("/once/a", "part")]
-#[case::stream("/stream/a", "id: 1\ndata: x\n\n")]
+#[case::plain("/once/a", "200 OK", "part")]
+#[case::rejected("/once/a", "404 Not Found", "part")]
+#[case::failed("/safe/a", "503 Busy", "part")]
+#[case::stream("/stream/a", "200 OK", "id: 1\ndata: x\n\n")]
 fn answer_reset_during_upload_is_incomplete(
     #[case] path: &str,
+    #[case] status: &str,
     #[case] part: &str,
     #[values(0, 50)] pause_ms: u64,
 ) {
     // Guards against an answer without a length that passes for complete, because the reset of its
     // connection is reported to the write of the request and not to a read.
-    let answer = format!("HTTP/1.1 200 OK\r\nRequest-Id: ID\r\nSeal: s\r\n\r\n{part}");
+    let answer = format!("HTTP/1.1 {status}\r\nRequest-Id: ID\r\nSeal: s\r\n\r\n{part}");
     run_local(async move {
         let then = Then::Reset(Duration::from_millis(pause_ms));
         let (_platform, router) = router_before(peer(answer, then).await.0).await;
--- a/tests/test_http1.rs
+++ b/tests/test_http1.rs
@@ -122,11 +122,14 @@
     }
 }
 
-/// Guards against the same for a field's value.
-#[test]
-fn parse_response_invalid_field_value() {
+/// Guards against the same for a field's value and for the reason phrase.
+#[rstest]
+#[case::value("HTTP/1.1 200 OK\r\nX: a", "b\r\n\r\n")]
+#[case::reason("HTTP/1.1 200 O", "K\r\n\r\n")]
+#[case::field_in_reason("HTTP/1.1 200 OK", "X: 1\r\n\r\n")]
+fn parse_response_control_byte(#[case] before: &str, #[case] after: &str) {
     for byte in (0..=31).chain([127]).filter(|b| *b != b'\t') {
-        let text = [b"HTTP/1.1 200 OK\r\nX: a", &[byte][..], b"b\r\n\r\n"].concat();
+        let text = [before.as_bytes(), &[byte], after.as_bytes()].concat();
         let parsed = parse_response(&mut BytesMut::from(&text[..]));
         assert!(matches!(parsed, Err(InvalidHead::Malformed)), "{byte}: {parsed:?}");
     }
