Gateway: a relay passes on an answer that came before a failed write

What callers saw: 502 at a router that is cut off from the targets, for an answer that its target had sent whole, if the target did not read the rest of the request and its connection was reset. Never a wrong answer.

Cause: the relay's write of the request failed, and the relay dropped what it had not yet read of the answer.

The relay reads on until the target's bytes end. They end in order only if the write failed with EPIPE, by the rule that Conn has; else a tunnel with a marked end closes without its last chunk, and one without is reset. The connection to the target is closed before the relay waits for the router's close.

--- a/src/gateway/tunnel.rs
+++ b/src/gateway/tunnel.rs
@@ -19,8 +19,10 @@
 //! | 503 | the relay is stopping, is partitioned itself, or has no free connections |
 //! | 504 | the target did not answer the relay |
 
+use std::cell::Cell;
 use std::io;
 use std::net::{IpAddr, SocketAddr};
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -34,7 +36,9 @@
 use super::front::CountGuard;
 use super::pool::UNACKED_TIMEOUT;
 use super::state::{Gateway, Phase, Platform};
-use crate::http1::{BodyDecoder, Conn, LAST_CHUNK, RelayFraming, append_chunk, header};
+use crate::http1::{
+    BodyDecoder, Conn, LAST_CHUNK, RelayFraming, append_chunk, failure_of_write, header,
+};
 use crate::stats::ReasonLabel;
 
 /// Time limit for opening a tunnel: the connection to the relay, and the relay's connection to the
@@ -220,36 +224,81 @@
     Target,
 }
 
+/// Copies a router's bytes to the target. Returns the target's error if writing fails; `None` once
+/// the router has closed the tunnel.
+///
+/// # Errors
+/// The error of reading from the router.
+async fn copy_to_target(
+    from: &mut (impl AsyncRead + Unpin),
+    to: &mut (impl AsyncWrite + Unpin),
+) -> io::Result<Option<io::Error>> {
+    let mut piece = vec![0; CHUNK_BYTES];
+    loop {
+        let n = from.read(&mut piece).await?;
+        if n == 0 {
+            return Ok(None);
+        }
+        if let Err(e) = to.write_all(&piece[..n]).await {
+            return Ok(Some(e));
+        }
+    }
+}
+
 /// Copies bytes in both directions until one side closes; the target's in chunks if `is_framed` is
 /// set. Returns which side did.
 async fn splice(mut router: Conn, mut target: Conn, is_framed: bool) -> &'static str {
     let (mut router_rd, mut router_wr, from_router) = router.split();
     let (mut target_rd, mut target_wr, from_target) = target.split();
-    let up = async {
-        target_wr.write_all(&from_router).await?;
-        copy(&mut router_rd, &mut target_wr).await
-    };
-    let down = async {
-        let mut target_rd = from_target.as_ref().chain(&mut target_rd);
-        if is_framed {
-            copy_chunks(&mut target_rd, &mut router_wr).await?;
-            router_wr.write_all(LAST_CHUNK).await
-        } else {
-            copy(&mut target_rd, &mut router_wr).await.map(drop)
+    let target_failure = Cell::new(None);
+    let closed_by = {
+        let up = async {
+            let mut router_rd = from_router.as_ref().chain(&mut router_rd);
+            copy_to_target(&mut router_rd, &mut target_wr).await
+        };
+        let mut down = pin!(async {
+            let mut target_rd = from_target.as_ref().chain(&mut target_rd);
+            if is_framed {
+                copy_chunks(&mut target_rd, &mut router_wr).await?;
+            } else {
+                copy(&mut target_rd, &mut router_wr).await?;
+            }
+            if let Some(failure) = target_failure.get() {
+                return Err(io::Error::from(failure));
+            }
+            if is_framed {
+                router_wr.write_all(LAST_CHUNK).await?;
+            }
+            Ok(())
+        });
+        tokio::select! {
+            up = up => match up {
+                Ok(None) => Ok(Side::Router),
+                Err(e) => Err(e),
+                // The target may have answered before. What it sent can still be read.
+                Ok(Some(e)) => {
+                    target_failure.set(failure_of_write(&e));
+                    down.await.map(|()| Side::Target)
+                }
+            },
+            down = &mut down => down.map(|()| Side::Target),
         }
     };
-    let closed_by = tokio::select! {
-        up = up => up.map(|_| Side::Router),
-        down = down => down.map(|()| Side::Target),
-    };
+    if !matches!(closed_by, Ok(Side::Target)) {
+        // The request is cancelled: closing the target's connection stops its work. Its bytes may
+        // still be held up between this router and the target.
+        target.set_reset_on_close(true);
+    }
+    drop(target);
     match closed_by {
-        Ok(Side::Router) => {
-            // The request is cancelled: closing the target's connection stops its work. Its bytes
-            // may still be held up between this router and the target.
-            target.set_reset_on_close(true);
-            "router_closed"
+        Ok(Side::Router) => "router_closed",
+        Err(_) if !is_framed => {
+            // An answer that is delimited by the end of its connection must not look complete.
+            router.set_reset_on_close(true);
+            "reset"
         }
-        Ok(Side::Target) => {
+        // A failure shows in the missing last chunk.
+        Ok(Side::Target) | Err(_) => {
             // The router's bytes are read to the end, because a connection that is closed with
             // unread bytes is reset, and the reset could overtake the answer.
             let closed = async {
@@ -260,14 +309,7 @@
             };
             // Both connections are closed in any case.
             let _ = timeout(CLOSE_TIMEOUT, closed).await;
-            "target_closed"
-        }
-        Err(_) => {
-            // The target's reset may be reported to either direction. An answer that is delimited
-            // by the end of its connection must not look complete.
-            router.set_reset_on_close(true);
-            target.set_reset_on_close(true);
-            "reset"
+            if closed_by.is_ok() { "target_closed" } else { "reset" }
         }
     }
 }
--- a/src/http1/conn.rs
+++ b/src/http1/conn.rs
@@ -42,6 +42,12 @@
     Unmarked,
 }
 
+/// The failure that an error of a write shows, after which the end of the peer's bytes is no orderly
+/// one. `None` for a broken pipe: the peer had closed the connection before it was reset.
+pub fn failure_of_write(e: &io::Error) -> Option<io::ErrorKind> {
+    Some(e.kind()).filter(|kind| *kind != io::ErrorKind::BrokenPipe)
+}
+
 /// A TCP connection with a buffer of bytes that were read but not yet consumed.
 #[derive(Debug)]
 pub struct Conn {
@@ -187,10 +193,7 @@
                 // A target that rejects a request and closes the connection may have answered.
                 log::debug!("conn unsent={} error={e}", self.unsent.len());
                 self.unsent.clear();
-                // A broken pipe means that the peer had closed the connection before it was reset.
-                if e.kind() != io::ErrorKind::BrokenPipe {
-                    self.failure = Some(e.kind());
-                }
+                self.failure = failure_of_write(&e);
             }
             let (io, buf) = self.receive_buf();
             match io.try_read_buf(buf) {
--- a/src/http1/mod.rs
+++ b/src/http1/mod.rs
@@ -10,7 +10,7 @@
 mod head;
 
 pub use body::{BodyDecoder, LAST_CHUNK, Step, append_chunk};
-pub use conn::{Conn, HeadError, RelayFraming};
+pub use conn::{Conn, HeadError, RelayFraming, failure_of_write};
 pub use head::{
     Header, InvalidHead, RequestHead, ResponseHead, header, keep_alive_seconds, parse_request,
     parse_response, tokens,
--- a/tests/test_gateway_malformed.rs
+++ b/tests/test_gateway_malformed.rs
@@ -37,6 +37,8 @@
 const SEGMENT_BYTES: u32 = 1_460;
 /// Length of a body that does not fit into the buffers of a connection.
 const LONG_BODY: usize = 512 * 1024;
+/// Enough tunnels that their relay looks first at either direction of some.
+const TUNNELS: usize = 20;
 
 /// The connections of a peer.
 #[derive(Default)]
@@ -353,6 +355,33 @@
     (head.status == 200).then_some(conn)
 }
 
+/// A target behind a relay, and a router that may ask for tunnels to it.
+struct Relay {
+    target: TcpListener,
+    host: GatewayHost,
+    _router: GatewayHost,
+    _platform: LocalPlatform,
+}
+
+impl Relay {
+    async fn start() -> Relay {
+        let target = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let (platform, host) = router_before(target.local_addr().unwrap()).await;
+        let router = GatewayHost::start(&platform, "r2", "zone-1", 1).await.unwrap();
+        eventually("the relay knows the router", || !host.gw.peers.borrow().is_empty()).await;
+        Relay { target, host, _router: router, _platform: platform }
+    }
+
+    /// Begins a request, of which a part is still to come. Returns the tunnel and the target's end.
+    async fn begin_upload(&self, framing: &str) -> (Conn, TcpStream) {
+        let opened = open_tunnel(self.host.gw.settings.peer, framing).await;
+        let (mut conn, (mut target, _)) = (opened.unwrap(), self.target.accept().await.unwrap());
+        conn.write(b"POST / HTTP/1.1\r\nContent-Length: 9\r\n\r\n").await.unwrap();
+        assert!(target.read(&mut [0; 256]).await.unwrap() > 0);
+        (conn, target)
+    }
+}
+
 #[rstest]
 #[case::marked_end("Tunnel-Framing: chunked\r\n")]
 #[case::unmarked_end("")]
@@ -360,16 +389,9 @@
     // Guards against a relay that ends a tunnel in order because the reset of its target is reported
     // to the write of the request.
     run_local(async move {
-        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-        let (platform, relay) = router_before(listener.local_addr().unwrap()).await;
-        let _router = GatewayHost::start(&platform, "r2", "zone-1", 1).await.unwrap();
-        eventually("the relay knows the router", || !relay.gw.peers.borrow().is_empty()).await;
-        // The relay looks at either direction first.
-        for n in 0..20 {
-            let opened = open_tunnel(relay.gw.settings.peer, framing).await;
-            let (mut conn, (mut target, _)) = (opened.unwrap(), listener.accept().await.unwrap());
-            conn.write(b"POST / HTTP/1.1\r\nContent-Length: 9\r\n\r\n").await.unwrap();
-            assert!(target.read(&mut [0; 256]).await.unwrap() > 0);
+        let relay = Relay::start().await;
+        for n in 0..TUNNELS {
+            let (mut conn, mut target) = relay.begin_upload(framing).await;
             target.write_all(b"HTTP/1.1 200 OK\r\n\r\npart").await.unwrap();
             let head = conn.read_response(1_024).await.unwrap();
             reset(target, Duration::ZERO).await;
@@ -379,3 +401,28 @@
         }
     });
 }
+
+#[rstest]
+#[case::ended("", true)]
+#[case::with_length("Content-Length: 5\r\n", false)]
+fn relayed_answer_whole_before_reset_is_complete(#[case] length: &str, #[case] ends: bool) {
+    // Guards against a relay that drops a complete answer, because its target does not read the rest
+    // of the request.
+    let answer = format!("HTTP/1.1 200 OK\r\n{length}\r\nwhole");
+    run_local(async move {
+        let relay = Relay::start().await;
+        for n in 0..TUNNELS {
+            let (mut conn, mut target) = relay.begin_upload("Tunnel-Framing: chunked\r\n").await;
+            target.write_all(answer.as_bytes()).await.unwrap();
+            if ends {
+                target.shutdown().await.unwrap();
+            }
+            reset(target, Duration::ZERO).await;
+            conn.start_request("more".into()).unwrap();
+            let head = conn.read_response(1_024).await;
+            let head = head.unwrap_or_else(|e| panic!("{n}: {e:?}"));
+            let body = conn.read_body(head.body, |_| true).await;
+            assert_eq!(body.unwrap().as_deref(), Some(&b"whole"[..]), "{n}");
+        }
+    });
+}
