Gateway: a stopping router does not send a waiting request that it may cut

What callers could see (LOST): a router that stops takes a request early, sends it late, and ends before the answer. Reported from other systems; here for requests that wait before their first send, for the list of versions for example.

Cause: the check before each send compared the stop's end with the current time, and not with the request's time limit as at its admission. After the waits right before a send there was no check at all.

A request that no target may have run is refused now if its limit lies past the stop's end, in the loop over targets and as one of the last checks before a send. 503 is true, and other routers may serve it. A request that may have run is still sent again while there is time.

--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -325,7 +325,7 @@
             if let Err(resp) = self.check_quarantine() {
                 return failure_reply.ok_or(self.map_refusal(resp));
             }
-            if self.gw.stops_before(Instant::now()) {
+            if self.stop_forbids_send() {
                 let resp = RouterResponse::refusal("stopping", DEFAULT_RETRY_AFTER);
                 return failure_reply.ok_or(self.map_refusal(resp));
             }
@@ -414,6 +414,14 @@
         }
     }
 
+    /// Whether a planned stop forbids a send. A request that no target may have run is refused if the
+    /// stop may end it, because it may still be sent to another router.
+    pub(super) fn stop_forbids_send(&self) -> bool {
+        let needed_until =
+            if self.may_have_run.get() { Instant::now() } else { self.answer_deadline };
+        self.gw.stops_before(needed_until)
+    }
+
     /// Turns 503 into 502 once a target may have run the request, because 503 promises that it did
     /// not run.
     fn map_refusal(&self, response: RouterResponse) -> RouterResponse {
--- a/src/gateway/send.rs
+++ b/src/gateway/send.rs
@@ -180,8 +180,8 @@
             return Err(SendOutcome::HeldOff);
         }
         let holds_off = backend.self_reported.is_unavailable(Instant::now());
-        // It may have become known during the waits above.
-        if self.is_quarantined() {
+        // Either may have begun during the waits above.
+        if self.is_quarantined() || self.stop_forbids_send() {
             return Err(SendOutcome::HeldOff);
         }
         if self.gw.zones.is_emptied(&zone) || !backend.is_expected_to_stay() || holds_off {
--- a/tests/test_gateway.rs
+++ b/tests/test_gateway.rs
@@ -13,6 +13,7 @@
 use kingcupwall::standin::gateway_target::{StandinTarget, TargetFault};
 use rstest::rstest;
 use tokio::task::spawn_local;
+use tokio::time::{Instant, sleep};
 
 use crate::gateway_fleet::{Call, CallResult, Fleet, eventually, run_local};
 
@@ -498,6 +499,28 @@
     });
 }
 
+/// Guards against a request that a stopping router has taken early, sends late, and ends in the
+/// middle.
+#[test]
+fn drain_refuses_request_that_still_waits() {
+    run_local(async {
+        let fleet = Fleet::start(1, 1_000).await;
+        let gw = &fleet.router.gw;
+        // Its target's version is listed only after the stop has begun to finish.
+        fleet.router.platform.rows.set_fault(Fault::Slow(Duration::from_millis(150)));
+        let call = Call::get("/resumable/a").time_left_ms(60_000);
+        let stop = async {
+            eventually("the request arrives", || gw.active_requests.get() > 0).await;
+            sleep(Duration::from_millis(50)).await;
+            gw.stop_by.set(Instant::now().checked_add(Duration::from_secs(1)));
+            gw.phase.send_replace(Phase::Finishing);
+        };
+        let (got, ()) = tokio::join!(call.send(fleet.router.front), stop);
+        assert_eq!((got.status(), fleet.runs()), (503, 0));
+        assert!(got.header("Retry-After").is_some());
+    });
+}
+
 #[test]
 fn log_identifies_cause() {
     // The log must identify the cause of a failure by request id, for three kinds of failure.
