Gateway: a planned stop answers the requests that no target has answered

What callers saw (LOST): a request that its target has not answered at the end of a router's grace is cut with no answer.

Cause: the stop waits for active requests until its end, and then the process exits. Nothing told the requests.

Evidence: drain_answers_all_requests (a target that never answers; plain and stream) gets no answer before, in both cases, and 502 now.

100 ms before the end of the wait each request without an answer gets one: 502 if a target may have run it, else 503 with Retry-After; both are true. The time is taken from the requests and not from the last writes. A request that could have been answered within these 100 ms is lost to that.

--- a/src/gateway/drain.rs
+++ b/src/gateway/drain.rs
@@ -13,13 +13,16 @@
 const MAX_ENTRY_AGE_TTLS: u32 = 3;
 /// Time reserved for the last transaction and the exit, before the platform kills the process.
 const FINAL_WRITES_TIME: Duration = Duration::from_millis(600);
+/// Time before that for answering the requests that no target has answered.
+const LAST_ANSWERS_TIME: Duration = Duration::from_millis(100);
 
 /// Drains this router. Returns when the process may exit.
 pub async fn stop<P: Platform>(gw: &Rc<Gateway<P>>) {
     let requested_at = Instant::now();
     let end = requested_at + gw.settings.grace.saturating_sub(FINAL_WRITES_TIME);
+    let last_answers = gw.settings.grace.saturating_sub(FINAL_WRITES_TIME + LAST_ANSWERS_TIME);
     gw.log.note("stop", format_args!("phase=leaving active={}", gw.active_requests.get()));
-    gw.stop_by.set(Some(end));
+    gw.stop_by.set(Some(requested_at + last_answers));
     gw.phase.send_replace(Phase::Leaving);
     members::mark_leaving(gw);
     gw.budget_shares.stop_lending();
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -305,8 +305,16 @@
         &mut self,
         resume_after: Option<CompactString>,
     ) -> Result<Reply, RouterResponse> {
-        let answer_deadline = self.answer_deadline;
-        match timeout_at(answer_deadline, self.fetch_reply_untimed(resume_after)).await {
+        let (gw, answer_deadline) = (self.gw, self.answer_deadline);
+        let reply = tokio::select! {
+            biased;
+            reply = timeout_at(answer_deadline, self.fetch_reply_untimed(resume_after)) => reply,
+            () = gw.stop_reached() => {
+                let resp = RouterResponse::refusal("stopping", DEFAULT_RETRY_AFTER);
+                return Err(self.map_refusal(resp));
+            }
+        };
+        match reply {
             Ok(reply) => reply,
             Err(_) if self.may_have_run.get() => Err(RouterResponse::new(504, "timeout")),
             Err(_) => Err(RouterResponse::refusal("timeout_before_send", DEFAULT_RETRY_AFTER)),
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -7,7 +7,7 @@
 
 use compact_str::CompactString;
 use tokio::sync::{Notify, watch};
-use tokio::time::Instant;
+use tokio::time::{Instant, sleep_until};
 
 use super::backend::TargetInfo;
 use super::capacity::CapacityAdmissions;
@@ -152,7 +152,8 @@
     pub confirmed: tokio::sync::Mutex<Option<Confirmation>>,
     /// Progress of a planned stop.
     pub phase: watch::Sender<Phase>,
-    /// When a planned stop ends the requests that are still active; `None` without a stop.
+    /// When a planned stop answers the requests that no target has answered; `None` without a stop.
+    /// Answers that have begun may go on a little longer.
     pub stop_by: Cell<Option<Instant>>,
     /// The view of the fleet that entry answers are computed from.
     pub entry: watch::Sender<EntryView>,
@@ -253,6 +254,17 @@
             && self.stop_by.get().is_some_and(|end| answer_deadline > end)
     }
 
+    /// Waits until a planned stop ends the requests that no target has answered.
+    pub async fn stop_reached(&self) {
+        let mut phase = self.phase.subscribe();
+        // The sender is this router's own, so that waiting cannot fail.
+        let _ = phase.wait_for(|p| *p == Phase::Finishing).await;
+        match self.stop_by.get() {
+            Some(end) => sleep_until(end).await,
+            None => std::future::pending().await,
+        }
+    }
+
     /// Whether callers should be sent to this router.
     pub fn is_ready(&self) -> bool {
         *self.phase.borrow() == Phase::Up && self.catalog.borrow().is_some()
--- a/tests/test_gateway.rs
+++ b/tests/test_gateway.rs
@@ -521,6 +521,23 @@
     });
 }
 
+/// Guards against a stop that closes the connections of requests which no target has answered.
+#[rstest]
+#[case::plain("/once/a")]
+#[case::stream("/stream/a")]
+fn drain_answers_all_requests(#[case] path: &str) {
+    run_local(async {
+        let Fleet { targets, router, platform: _platform } = Fleet::start(1, 1_000).await;
+        targets[0].fail(&[TargetFault::Hangs]);
+        let mut conn = Conn::dial(router.front, Duration::from_secs(5)).await.unwrap();
+        conn.write(&Call::get(path).time_left_ms(60_000).bytes()).await.unwrap();
+        eventually("the request is sent", || !targets[0].runs().is_empty()).await;
+        drain::stop(&router.gw).await;
+        router.kill();
+        assert_eq!(CallResult::read(&mut conn).await.status(), 502);
+    });
+}
+
 #[test]
 fn log_identifies_cause() {
     // The log must identify the cause of a failure by request id, for three kinds of failure.
