Tests: streams at a router that was out of step while a new version joined

Reported from other systems (ORDER): a router is out of step for seconds while targets of a new software version join; streams that began there through other routers are taken up at it, and go on at a target of another version.

The router learns where the stream began from others, or else from the list in the store, read after the request came; with several versions it refuses.

GatewayHost can be paused: its tasks stand still, what arrives waits, and timers run.

--- a/src/standin/gateway_host.rs
+++ b/src/standin/gateway_host.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use tokio::net::{TcpListener, UdpSocket};
+use tokio::sync::watch;
 use tokio::task::{JoinHandle, LocalSet, spawn_local};
 use tokio::time::sleep;
 
@@ -29,6 +30,21 @@
     tasks: Vec<JoinHandle<()>>,
     /// Runs all tasks of the gateway, also those of its connections.
     process: JoinHandle<()>,
+    is_paused: watch::Sender<bool>,
+}
+
+/// Runs the tasks of a gateway, but not while it is paused. Never returns.
+async fn run(mut tasks: LocalSet, mut is_paused: watch::Receiver<bool>) {
+    loop {
+        tokio::select! {
+            biased;
+            Ok(_) = is_paused.wait_for(|paused| *paused) => (),
+            () = &mut tasks => return,
+        }
+        if is_paused.wait_for(|paused| !*paused).await.is_err() {
+            return;
+        }
+    }
 }
 
 impl GatewayHost {
@@ -58,8 +74,9 @@
             let _entered = local.enter();
             gateway::start(&gw, listener, socket, tunnel_listener)
         };
-        let process = spawn_local(local);
-        let host = GatewayHost { front, gw, platform, log, tasks, process };
+        let is_paused = watch::Sender::new(false);
+        let process = spawn_local(run(local, is_paused.subscribe()));
+        let host = GatewayHost { front, gw, platform, log, tasks, process, is_paused };
         while !host.is_serving() {
             sleep(READY_POLL_INTERVAL).await;
         }
@@ -76,6 +93,12 @@
         self.tasks[0].abort();
     }
 
+    /// Pauses the gateway like a process that stands still, or lets it go on. What arrives meanwhile
+    /// waits, and timers run.
+    pub fn set_paused(&self, paused: bool) {
+        self.is_paused.send_replace(paused);
+    }
+
     /// Stops the gateway like a killed process: it admits, sends and writes nothing more, and callers
     /// get no notice.
     pub fn kill(self) {
--- a/tests/test_gateway_versions.rs
+++ b/tests/test_gateway_versions.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use kingcupwall::gateway::origins::VersionDigest;
+use kingcupwall::gateway::origins::{KeeperRing, VersionDigest};
 use kingcupwall::gateway::versions::StreamVersions;
 use kingcupwall::http1::Conn;
 use kingcupwall::rows::{Fault, Row, RowKey, StoreMs, Ver};
@@ -227,6 +227,36 @@
     });
 }
 
+#[rstest]
+#[case::paused(false)]
+#[case::paused_and_cut_off_from_routers(true)]
+fn streams_are_not_joined_at_a_router_that_was_out_of_step(#[case] is_cut_off: bool) {
+    // Guards against a router that missed the start of a new version, and the streams that began
+    // there, and continues them at the only version that it knows.
+    run_local(async {
+        let mut fleet = Fleet::start(&["v1"], 2).await;
+        fleet.routers[1].set_paused(true);
+        for version in ["v2", "v2", "v1"] {
+            fleet.add_target(version).await;
+        }
+        let [began, paused] = [0, 1].map(|n| fleet.routers[n].gw.clone());
+        eventually("a router knows all targets", || began.targets.count().1 == 4).await;
+        if is_cut_off {
+            began.origins.set_peers(KeeperRing::default());
+        }
+        let streams = fleet.interrupted_streams().await;
+        let versions: Vec<_> = streams.iter().flat_map(|s| versions_of(&s.body)).collect();
+        assert!(!is_one_version(&versions), "all streams began at {}", versions[0]);
+        assert_eq!(paused.targets.count().1, 1);
+        if is_cut_off {
+            fleet.routers.remove(0).kill();
+        }
+        let last = fleet.routers.len() - 1;
+        fleet.routers[last].set_paused(false);
+        fleet.resume_all(&streams, last).await;
+    });
+}
+
 async fn refused(call: Call, fleet: &Fleet) -> CallResult {
     let runs = |f: &Fleet| f.targets.iter().map(|t| t.runs().len()).sum::<usize>();
     let before = runs(fleet);
