Engine: answers of targets that are read whole have a size limit

Reported from other systems: a faulty target sends bytes without end until the caller closes; the machine that called it keeps them all and runs out of memory, and the requests of other clients on it end.

Here: the gateway's heads, bodies, events, chunk extensions and trailers have limits (their tests hold). The first product's client of targets read reports, orders and calls whole without one, for up to 2 s.

Evidence: report_without_end fails before in both cases, until the close and with a length of 10^12: more than 64 MiB are taken. Now the connection is closed after 4 MiB, the limit of the gateway for bodies of requests, and the target counts as failed.

--- a/src/engine/http.rs
+++ b/src/engine/http.rs
@@ -22,6 +22,8 @@
 const STREAM_READ_TIMEOUT: Duration = Duration::from_secs(5);
 /// The longest line of a response stream, in bytes.
 const MAX_LINE_BYTES: usize = 64 * 1024;
+/// The longest accepted answer to other requests, in bytes.
+const MAX_ANSWER_BYTES: usize = 4 * 1024 * 1024;
 
 /// A client of targets, shared by all requests.
 #[derive(Clone, Debug)]
@@ -43,11 +45,24 @@
 
     async fn post<B: Serialize, T: DeserializeOwned>(&self, url: String, body: &B) -> Result<T> {
         let req = self.client.post(url).timeout(CALL_TIMEOUT).json(body);
-        let resp = check_status(req.send().await.map_err(request_error)?)?;
-        resp.json().await.map_err(request_error)
+        read_json(check_status(req.send().await.map_err(request_error)?)?).await
     }
 }
 
+/// Reads an answer of at most [`MAX_ANSWER_BYTES`].
+async fn read_json<T: DeserializeOwned>(mut resp: reqwest::Response) -> Result<T> {
+    let mut body = BytesMut::new();
+    while let Some(piece) = resp.chunk().await.map_err(request_error)? {
+        if body.len() + piece.len() > MAX_ANSWER_BYTES {
+            return Err(Error::new(Kind::TargetFailed, "target's answer exceeds the size limit"));
+        }
+        body.extend_from_slice(&piece);
+    }
+    let malformed =
+        |e| Error::new(Kind::TargetFailed, format!("malformed answer of the target: {e}"));
+    serde_json::from_slice(&body).map_err(malformed)
+}
+
 /// `NoTarget` only for a failed connect, since only that proves that no byte of the request was
 /// sent; `TargetFailed` otherwise.
 fn request_error(e: reqwest::Error) -> Error {
@@ -138,7 +153,7 @@
 
     async fn report(&self, addr: &str) -> Result<LoadReport> {
         let req = self.client.get(format!("http://{addr}/v1/load")).timeout(CALL_TIMEOUT);
-        check_status(req.send().await.map_err(request_error)?)?.json().await.map_err(request_error)
+        read_json(check_status(req.send().await.map_err(request_error)?)?).await
     }
 
     async fn order(&self, addr: &str, order: &Order) -> Result<()> {
@@ -147,7 +162,6 @@
 
     async fn call(&self, addr: &str, call: &ServiceCall) -> Result<ServiceAnswer> {
         let req = self.client.post(format!("http://{addr}/v1/call")).json(call);
-        let resp = check_status(req.send().await.map_err(request_error)?)?;
-        resp.json().await.map_err(request_error)
+        read_json(check_status(req.send().await.map_err(request_error)?)?).await
     }
 }
--- a/tests/tests.rs
+++ b/tests/tests.rs
@@ -15,6 +15,7 @@
 mod test_budget_reclaim;
 mod test_committer;
 mod test_config;
+mod test_engine_http;
 mod test_explain;
 mod test_fleet;
 mod test_gateway;
