HTTP: a later broken pipe does not hide a failure; docs

Found in reading the diff: an error of a write replaced the failure that was recorded before it. No way to two such errors is known, since nothing more is written after the first.

--- a/src/http1/conn.rs
+++ b/src/http1/conn.rs
@@ -193,7 +193,7 @@
                 // A target that rejects a request and closes the connection may have answered.
                 log::debug!("conn unsent={} error={e}", self.unsent.len());
                 self.unsent.clear();
-                self.failure = failure_of_write(&e);
+                self.failure = self.failure.or(failure_of_write(&e));
             }
             let (io, buf) = self.receive_buf();
             match io.try_read_buf(buf) {
--- a/src/standin/gateway_host.rs
+++ b/src/standin/gateway_host.rs
@@ -33,7 +33,7 @@
     is_paused: watch::Sender<bool>,
 }
 
-/// Runs the tasks of a gateway, but not while it is paused. Never returns.
+/// Runs the tasks of a gateway, but not while it is paused.
 async fn run(mut tasks: LocalSet, mut is_paused: watch::Receiver<bool>) {
     loop {
         tokio::select! {
