--- a/src/gateway/tunnel.rs
+++ b/src/gateway/tunnel.rs
@@ -245,6 +245,23 @@
     }
 }
 
+/// Closes a tunnel and waits for the router to close it. The router's bytes are read to the end,
+/// because a connection that is closed with unread bytes is reset, and the reset could overtake the
+/// answer.
+async fn close_after_answer(
+    from: &mut (impl AsyncRead + Unpin),
+    to: &mut (impl AsyncWrite + Unpin),
+) {
+    let closed = async {
+        to.shutdown().await?;
+        let mut unread = [0; 256];
+        while from.read(&mut unread).await? > 0 {}
+        io::Result::Ok(())
+    };
+    // The tunnel is closed in any case.
+    let _ = timeout(CLOSE_TIMEOUT, closed).await;
+}
+
 /// Copies bytes in both directions until one side closes; the target's in chunks if `is_framed` is
 /// set. Returns which side did.
 async fn splice(mut router: Conn, mut target: Conn, is_framed: bool) -> &'static str {
@@ -299,16 +316,7 @@
         }
         // A failure shows in the missing last chunk.
         Ok(Side::Target) | Err(_) => {
-            // The router's bytes are read to the end, because a connection that is closed with
-            // unread bytes is reset, and the reset could overtake the answer.
-            let closed = async {
-                router_wr.shutdown().await?;
-                let mut unread = [0; 256];
-                while router_rd.read(&mut unread).await? > 0 {}
-                io::Result::Ok(())
-            };
-            // Both connections are closed in any case.
-            let _ = timeout(CLOSE_TIMEOUT, closed).await;
+            close_after_answer(&mut router_rd, &mut router_wr).await;
             if closed_by.is_ok() { "target_closed" } else { "reset" }
         }
     }
