Tests: drain_refuses_request_that_still_waits observes the wait, and the reason

It slept 50 ms until the request waited; it watches for the open connection to the target now, after which the version is looked up. It also asks for the reason "stopping": without the check in the loop over targets the request got another 503 after a useless wait, which passed.

--- a/tests/test_gateway.rs
+++ b/tests/test_gateway.rs
@@ -11,9 +11,10 @@
 use kingcupwall::standin::gateway::{LocalPlatform, catalog_parts};
 use kingcupwall::standin::gateway_host::GatewayHost;
 use kingcupwall::standin::gateway_target::{StandinTarget, TargetFault};
+use kingcupwall::stats::ReasonLabel;
 use rstest::rstest;
 use tokio::task::spawn_local;
-use tokio::time::{Instant, sleep};
+use tokio::time::Instant;
 
 use crate::gateway_fleet::{Call, CallResult, Fleet, eventually, run_local};
 
@@ -505,9 +506,12 @@
     let fleet = Fleet::start(1, 1_000).await;
     let gw = &fleet.router.gw;
     fleet.router.platform.rows.set_fault(Fault::Slow(Duration::from_millis(150)));
+    let opened = ReasonLabel { reason: "opened" };
+    let connects = || gw.stats.target_connects.get_or_create(&opened).get();
+    let connects_before = connects();
     let stop = async {
-        eventually("the request arrives", || gw.active_requests.get() > 0).await;
-        sleep(Duration::from_millis(50)).await;
+        // The version is looked up once the connection to the target is open.
+        eventually("the request waits", || connects() > connects_before).await;
         gw.stop_by.set(Instant::now().checked_add(Duration::from_secs(1)));
         gw.phase.send_replace(Phase::Finishing);
         fleet.runs()
@@ -528,7 +532,7 @@
             }
         };
         assert_eq!((got.status(), runs), (503, 0));
-        assert!(got.header("Retry-After").is_some());
+        assert!(got.body.contains("stopping") && got.header("Retry-After").is_some());
     });
 }
 
